Lay out the workspace, the model types and the checks

Cause: the product starts from nothing; its libraries need one place for shared types, one direction of imports and one set of checks. Conclusion: parts can now be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Every target sets up the virtual environment first when the lock changed.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := model policy platform state peers gateway standins cli
+MODULES := $(addprefix magnoliacrank.,$(PACKAGES))
+SOURCES := packages bench tools
+
+.PHONY: all setup demo test format lint types imports bench capacity \
+	check-histories binary clean
+
+all: test
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+		$(foreach name,$(PACKAGES),-e packages/$(name))
+	touch $@
+
+demo: $(STAMP)
+	$(BIN)/magnoliacrank demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+format: $(STAMP)
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+
+types: $(STAMP)
+	$(BIN)/mypy $(foreach module,$(MODULES),-p $(module))
+
+imports: $(STAMP)
+	$(BIN)/lint-imports
+
+clean:
+	rm -rf $(VENV) dist build .mypy_cache .ruff_cache
--- /dev/null
+++ b/packages/cli/src/magnoliacrank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line, settings, start-up and shutdown order."""
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The request path: HTTP on both sides and connection pools."""
--- /dev/null
+++ b/packages/model/src/magnoliacrank/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data types in the words of the brief: configuration, instances, verdicts."""
--- /dev/null
+++ b/packages/peers/src/magnoliacrank/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry instances over gRPC."""
--- /dev/null
+++ b/packages/platform/src/magnoliacrank/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for the log service and the instance list."""
--- /dev/null
+++ b/packages/policy/src/magnoliacrank/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: routing, limits, admission, retries, moves."""
--- /dev/null
+++ b/packages/standins/src/magnoliacrank/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for development: servers, log, instance list and caller."""
--- /dev/null
+++ b/packages/state/src/magnoliacrank/state/__init__.py
@@ -0,0 +1,1 @@
+"""Folds of the log: configuration, terms, moves, notices, snapshots."""
