--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,10 @@
 
 clean:
 	rm -rf $(VENV) dist build .mypy_cache .ruff_cache
+
+.PHONY: lock
+lock:
+	mkdir -p build
+	$(BIN)/pip install --dry-run --ignore-installed --quiet \
+		--report build/report.json -r requirements-dev.in
+	$(BIN)/python tools/lock.py build/report.json > requirements.lock
