--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := model policy platform state peers gateway standins cli
 MODULES := $(addprefix magnoliacrank.,$(PACKAGES))
-SOURCES := packages bench tools
+SOURCES := packages $(wildcard bench tools)
 
 .PHONY: all setup demo test format lint types imports bench capacity \
 	check-histories binary clean
--- a/packages/cli/src/magnoliacrank/cli/list_reader.py
+++ b/packages/cli/src/magnoliacrank/cli/list_reader.py
@@ -85,8 +85,10 @@
     path: list_document.FieldPath,
     error: jsonschema.ValidationError,
 ) -> None:
-    known = sorted(error.schema["properties"])
-    for key in error.instance:
+    schema: Any = error.schema
+    instance: Any = error.instance
+    known = sorted(schema["properties"])
+    for key in instance:
         if key not in known:
             message = f"unknown field; expected one of {', '.join(known)}"
             document.add_error((*path, str(key)), message)
--- a/packages/cli/src/magnoliacrank/cli/list_schema.py
+++ b/packages/cli/src/magnoliacrank/cli/list_schema.py
@@ -14,6 +14,8 @@
     "pattern": r"^[A-Za-z0-9]([A-Za-z0-9._+-]{0,63})$",
 }
 
+_TIME_PATTERN = r"^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}(:\d{2})?(Z|[+-]\d{2}:\d{2})$"
+
 _ROUTE: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
@@ -44,7 +46,7 @@
         "version": _VERSION,
         "move_deadline": {
             "type": "string",
-            "pattern": r"^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}(:\d{2})?(Z|[+-]\d{2}:\d{2})$",
+            "pattern": _TIME_PATTERN,
         },
         "data_centres": {
             "type": "array",
