--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := model policy platform state peers gateway standins cli
 MODULES := $(addprefix magnoliacrank.,$(PACKAGES))
-SOURCES := packages bench tools
+SOURCES := packages $(wildcard bench tools)
 
 .PHONY: all setup demo test format lint types imports bench capacity \
 	check-histories binary clean
@@ -44,3 +44,10 @@
 
 clean:
 	rm -rf $(VENV) dist build .mypy_cache .ruff_cache
+
+.PHONY: lock
+lock:
+	mkdir -p build
+	$(BIN)/pip install --dry-run --ignore-installed --quiet \
+		--report build/report.json -r requirements-dev.in
+	$(BIN)/python tools/lock.py build/report.json > requirements.lock
