Bench the decisions on virtual time against baselines

Cause: routing choices have to be measured before they are argued about. Change: make bench-decisions runs the policy code and four baselines over scenarios as rows of a table; a seeded test holds the promises. Slowness lowers a server's limit by a sequential test only, and a cut stays with the instance that saw it. Before, single slow answers halved limits everywhere. Conclusion: limits follow evidence of a cold start, ranking follows latency. Slots are still ideal in the bench (shared without delay).

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,12 @@
 imports: $(STAMP)
 	$(BIN)/lint-imports
 
+bench: bench-decisions
+
+.PHONY: bench-decisions
+bench-decisions: $(STAMP)
+	$(BIN)/python -m bench.decisions
+
 clean:
 	rm -rf $(VENV) dist build .mypy_cache .ruff_cache
 
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches, on virtual time and on sockets."""
--- /dev/null
+++ b/bench/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision bench: the policy code against baselines on virtual time."""
--- /dev/null
+++ b/bench/decisions/__main__.py
@@ -0,0 +1,64 @@
+"""Prints the table of all scenarios, sizes and policies."""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import itertools
+from typing import TYPE_CHECKING
+
+from bench.decisions import runner
+from bench.decisions import scenario
+from bench.decisions import size
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_WORKERS = 4
+_HEADER = (
+    f"{'size':15}{'scenario':20}{'policy':16}"
+    f"{'p50':>7}{'p99':>8}{'p99.9':>8}{'goodput':>9}{'good%':>7}"
+    f"{'refused':>8}{'failed':>7}{'probes/s':>9}{'cold':>6}"
+    f"{'crashes':>8}{'late':>6}"
+)
+
+
+def _row(job: tuple[size.Size, scenario.Scenario, str]) -> str:
+    dimension, row, policy = job
+    got = runner.Run(row, dimension, policy).run()
+    good = 100.0 * got.in_time / max(1, got.calls)
+    return (
+        f"{dimension.name:15}{row.name:20}{policy:16}"
+        f"{got.percentile_ms(50):7.1f}{got.percentile_ms(99):8.1f}"
+        f"{got.percentile_ms(99.9):8.1f}{got.goodput:9.0f}{good:7.2f}"
+        f"{got.refused:8}{got.failed:7}{got.probes / got.duration_s:9.0f}"
+        f"{got.peak_cold:6.2f}{got.crashes:8}"
+        f"{got.late_out + got.late_leaving:6}"
+    )
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Runs the bench."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--scenario", default="", help="part of the name")
+    parser.add_argument("--size", default="", help="part of the name")
+    parser.add_argument("--policy", default="", help="part of the name")
+    parser.add_argument("--workers", type=int, default=_WORKERS)
+    options = parser.parse_args(arguments)
+    jobs = [
+        (dimension, row, policy)
+        for dimension, row, policy in itertools.product(
+            size.SIZES, scenario.SCENARIOS, runner.POLICIES
+        )
+        if options.size in dimension.name
+        and options.scenario in row.name
+        and options.policy in policy
+    ]
+    print(_HEADER)
+    with concurrent.futures.ProcessPoolExecutor(options.workers) as pool:
+        for line in pool.map(_row, jobs):
+            print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/decisions/tests/test_promises.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import pytest
+
+from bench.decisions import runner
+from bench.decisions import scenario
+from bench.decisions import size
+
+_SIZES = {one.name: one for one in size.SIZES}
+_ROWS = {row.name: row for row in scenario.SCENARIOS}
+_SMALL = ("cirelis-refill", "sela-records")
+_CALM = ("steady", "servers leave", "data centre out", "lying reports")
+_PROBES_PER_S = 10.0
+
+
+def _run(row, dimension, policy=runner.PRODUCT):
+    return runner.Run(_ROWS[row], _SIZES[dimension], policy).run()
+
+
+@pytest.fixture(scope="module")
+def figures():
+    """Runs each scenario at most once."""
+    kept = {}
+
+    def get(row, dimension):
+        if (row, dimension) not in kept:
+            kept[row, dimension] = _run(row, dimension)
+        return kept[row, dimension]
+
+    return get
+
+
+@pytest.mark.parametrize("dimension", _SMALL)
+@pytest.mark.parametrize("row", _CALM)
+def test_calm_scenarios_serve_all_in_time(figures, row, dimension):
+    got = figures(row, dimension)
+    assert got.in_time == got.calls
+    assert got.refused == got.failed == got.unfinished == 0
+
+
+@pytest.mark.parametrize("dimension", _SMALL)
+@pytest.mark.parametrize("row", ["data centre out", "servers leave"])
+def test_departed_get_no_work_after_bound(figures, row, dimension):
+    got = figures(row, dimension)
+    assert got.late_out == 0
+    assert got.late_leaving == 0
+
+
+@pytest.mark.parametrize("dimension", _SMALL)
+def test_started_server_bears_all_that_it_gets(figures, dimension):
+    got = figures("crash and cold", dimension)
+    assert got.crashes == 1
+    assert got.peak_cold <= 1.0
+
+
+@pytest.mark.parametrize("row", [row.name for row in scenario.SCENARIOS])
+def test_every_scenario_doubles_nothing_and_stays_in_budget(figures, row):
+    got = figures(row, "sela-records")
+    assert got.doubles == 0
+    assert got.probes <= _PROBES_PER_S * (got.duration_s + 1.0)
+
+
+@pytest.mark.parametrize("policy", runner.POLICIES)
+def test_same_seed_gives_same_figures(policy):
+    one, other = (
+        _run("sudden slowdown", "sela-records", policy) for _ in range(2)
+    )
+    assert one.latency.encode() == other.latency.encode()
+    assert one.dispatches == other.dispatches
+
+
+def test_bench_tells_a_policy_that_breaks_promises():
+    got = _run("servers leave", "sela-records", "random")
+    assert got.late_leaving > 0
+    got = _run("crash and cold", "cirelis-refill", "random")
+    assert got.peak_cold > 1.0
--- a/packages/policy/src/magnoliacrank/policy/life.py
+++ b/packages/policy/src/magnoliacrank/policy/life.py
@@ -12,10 +12,10 @@
     """Unknown or just started; it bears the cold limit only."""
 
     WARMING = "warming"
-    """It answers; its limit grows by evidence."""
+    """It answers; its limit grows by evidence from the cold limit."""
 
     READY = "ready"
-    """It bears all its slots."""
+    """It was warm once; its limit follows what it bears."""
 
     SUSPECT = "suspect"
     """It failed repeatedly; only single trials reach it."""
@@ -36,9 +36,6 @@
     RAMPED = "ramped"
     """Its limit reached its slots."""
 
-    HELD_BACK = "held-back"
-    """Its limit fell below its slots."""
-
     RESTARTED = "restarted"
     """It started anew."""
 
@@ -67,7 +64,6 @@
     (Life.WARMING, Event.RESTARTED): Life.COLD,
     (Life.WARMING, Event.EJECTED): Life.SUSPECT,
     (Life.WARMING, Event.LEAVE_LISTED): Life.LEAVING,
-    (Life.READY, Event.HELD_BACK): Life.WARMING,
     (Life.READY, Event.RESTARTED): Life.COLD,
     (Life.READY, Event.EJECTED): Life.SUSPECT,
     (Life.READY, Event.LEAVE_LISTED): Life.LEAVING,
--- a/packages/policy/src/magnoliacrank/policy/quantile_tracker.py
+++ b/packages/policy/src/magnoliacrank/policy/quantile_tracker.py
@@ -4,7 +4,7 @@
 
 import math
 
-_STEP = 0.05
+_STEP = 0.02
 _FIRST_STEP = 0.5
 _STEP_DECAY = 0.97
 
--- a/packages/policy/src/magnoliacrank/policy/ramp.py
+++ b/packages/policy/src/magnoliacrank/policy/ramp.py
@@ -7,9 +7,9 @@
 _COLD_LIMIT = 1
 _GROWTH = 1.34
 _ANSWERS_PER_SLOT = 4
-_MIN_STEP_S = 1.0
+_COLD_STEP_S = 0.5
+_RECOVERY_STEP_S = 0.1
 _HEALTHY_RATIO = 1.3
-_SLOW_RATIO = 3.0
 _MIN_CUT_S = 0.05
 
 
@@ -63,11 +63,12 @@
         """
         self._reported = self._slots if limit is None else max(1, limit)
 
-    def on_healthy(self, ratio: float, now_s: float) -> None:
+    def on_served(self, ratio: float, now_s: float, *, is_cold: bool) -> None:
         """Takes in a served answer.
 
         Args:
             ratio: Its latency over the usual one.
+            is_cold: Whether the server still warms up after its start.
             now_s: Monotonic time in seconds.
         """
         if self.is_full:
@@ -78,15 +79,15 @@
         self._answers += 1
         if self._answers < self._limit * _ANSWERS_PER_SLOT:
             return
-        if now_s - self._changed_s < _MIN_STEP_S:
+        step_s = _COLD_STEP_S if is_cold else _RECOVERY_STEP_S
+        if now_s - self._changed_s < step_s:
             return
         raised = max(self._limit + 1, int(self._limit * _GROWTH))
         self._set(min(raised, self._slots), now_s)
 
-    def on_slow(self, ratio: float, now_s: float) -> None:
-        """Halves the limit when the server is far slower than usual."""
-        if ratio >= _SLOW_RATIO:
-            self._cut(self._limit // 2, now_s)
+    def on_slow(self, now_s: float) -> None:
+        """Halves the limit of a server that became slow."""
+        self._cut(self._limit // 2, now_s)
 
     def on_shed(self, in_flight: int, now_s: float) -> None:
         """Takes in a refusal for load with so many requests in flight."""
--- a/packages/policy/src/magnoliacrank/policy/router.py
+++ b/packages/policy/src/magnoliacrank/policy/router.py
@@ -11,6 +11,7 @@
 from magnoliacrank.model import server
 from magnoliacrank.model import verdict
 from magnoliacrank.policy import life
+from magnoliacrank.policy import probe_budget
 from magnoliacrank.policy import route_latency
 from magnoliacrank.policy import sample
 from magnoliacrank.policy import server_state
@@ -82,6 +83,7 @@
         ] = {}
         self._failure_share = 0.0
         self._signs: dict[ids.ServerId, sample.ServerSign] = {}
+        self._owned: frozenset[ids.ServerId] = frozenset()
 
     @property
     def server_ids(self) -> Collection[ids.ServerId]:
@@ -200,8 +202,21 @@
             self._on_kind(state, outcome, 1.0, now_s)
         elif outcome.report is not None:
             state.on_report(outcome.report, len(state.in_flight), now_s)
+            state.on_probe_answer(now_s)
         self._note_sign(state)
 
+    def set_owned(self, owned: Collection[ids.ServerId]) -> None:
+        """Takes in which servers this instance measures for all."""
+        self._owned = frozenset(owned)
+
+    def probe_needs(self, now_s: float) -> list[probe_budget.ProbeNeed]:
+        """Returns how much each owned server needs to be measured."""
+        return [
+            self._states[server_id].probe_need(now_s)
+            for server_id in self._owned
+            if server_id in self._states
+        ]
+
     def on_sign(self, sign: sample.ServerSign, now_s: float) -> None:
         """Takes in what another instance of the crew learned."""
         state = self._states.get(sign.server_id)
@@ -216,7 +231,7 @@
 
     def signs(self) -> tuple[sample.ServerSign, ...]:
         """Returns the sign of every server, for an instance that joins."""
-        return tuple(_sign_of(state) for state in self._states.values())
+        return tuple(state.sign() for state in self._states.values())
 
     def limit(self, server_id: ids.ServerId, now_s: float) -> int:
         """Returns the concurrency that a server bears over all instances."""
@@ -367,8 +382,9 @@
         self._failure_share += (target - self._failure_share) * _PEERS_WEIGHT
 
     def _note_sign(self, state: server_state.ServerState) -> None:
-        if state.life is not life.Life.READY:
-            self._signs[state.server.server_id] = _sign_of(state)
+        sign = state.take_news()
+        if sign is not None:
+            self._signs[sign.server_id] = sign
 
     def _expected_s(self, route: str, state: server_state.ServerState) -> float:
         return self._usual_of(route, state.server.data_centre).expected_s
@@ -405,9 +421,3 @@
     if state.life is life.Life.SUSPECT:
         return state.may_try(now_s)
     return state.wants_trickle(now_s)
-
-
-def _sign_of(state: server_state.ServerState) -> sample.ServerSign:
-    return sample.ServerSign(
-        state.server.server_id, state.incarnation, state.limit
-    )
--- a/packages/policy/src/magnoliacrank/policy/sample.py
+++ b/packages/policy/src/magnoliacrank/policy/sample.py
@@ -89,3 +89,6 @@
 
     limit: int
     """Concurrency that it bears."""
+
+    is_cold: bool
+    """Whether it started lately and still warms up."""
--- a/packages/policy/src/magnoliacrank/policy/server_state.py
+++ b/packages/policy/src/magnoliacrank/policy/server_state.py
@@ -8,8 +8,10 @@
 from magnoliacrank.policy import life
 from magnoliacrank.policy import load_estimate
 from magnoliacrank.policy import outlier
+from magnoliacrank.policy import probe_budget
 from magnoliacrank.policy import ramp
 from magnoliacrank.policy import sample
+from magnoliacrank.policy import slow_alarm
 
 if TYPE_CHECKING:
     from magnoliacrank.model import server
@@ -22,20 +24,26 @@
 _RESTART_BREAKS = 2
 _TRUSTED = 0.5
 _MIN_SUCCESS = 0.1
+_OUT_WEIGHT = 4.0
 
 
 class ServerState:
     """Evidence about one server and the limit and cost drawn from it."""
 
     __slots__ = (
+        "_alarm",
+        "_before",
         "_break_s",
         "_breaks",
         "_incarnation",
+        "_is_down",
         "_load",
         "_outlier",
+        "_probed_s",
         "_ramp",
         "_ratio",
         "_ratio_s",
+        "_told",
         "answered_s",
         "dispatched_s",
         "in_flight",
@@ -62,12 +70,22 @@
         self._incarnation = 0
         self._breaks = 0
         self._break_s = -math.inf
+        self._probed_s = now_s
+        self._is_down = False
+        self._alarm = slow_alarm.SlowAlarm()
+        self._before: tuple[int, int] | None = None
+        self._told: sample.ServerSign | None = None
 
     @property
     def limit(self) -> int:
         """Requests that the server bears at once, over all instances."""
         return self._ramp.limit
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether it started lately or was never seen warm."""
+        return self.life in (life.Life.COLD, life.Life.WARMING)
+
     @property
     def incarnation(self) -> int:
         """Start number of the server's process, or 0 when unknown."""
@@ -102,10 +120,23 @@
 
     def wants_trickle(self, now_s: float) -> bool:
         """Returns whether a server that warms up lacks fresh evidence."""
-        if self.life not in (life.Life.COLD, life.Life.WARMING):
+        if not self.is_cold:
             return False
         return not self.in_flight and now_s - self.dispatched_s >= _TRICKLE_S
 
+    def probe_need(self, now_s: float) -> probe_budget.ProbeNeed:
+        """Returns how much it needs to be measured."""
+        quiet_s = now_s - max(self.answered_s, self._probed_s)
+        weight = _OUT_WEIGHT if self.life is life.Life.SUSPECT else 1.0
+        return probe_budget.ProbeNeed(self.server.server_id, quiet_s, weight)
+
+    def on_probe_answer(self, now_s: float) -> None:
+        """Takes in that a probe was answered: the server is up again."""
+        self._probed_s = now_s
+        if self.life is life.Life.SUSPECT and self._is_down:
+            self._is_down = False
+            self._readmit()
+
     def may_try(self, now_s: float) -> bool:
         """Returns whether an ejected server is due for a single trial."""
         return not self.in_flight and self._outlier.may_try(now_s)
@@ -142,9 +173,9 @@
             self._readmit()
             return
         self._move(life.Event.ANSWERED)
-        if self.slowness(now_s) >= 1.0:
-            self._ramp.on_slow(self.slowness(now_s), now_s)
-        self._ramp.on_healthy(ratio, now_s)
+        if self._alarm.add(ratio):
+            self._ramp.on_slow(now_s)
+        self._ramp.on_served(ratio, now_s, is_cold=self.is_cold)
         self._settle()
 
     def on_shed(self, now_s: float) -> None:
@@ -164,7 +195,8 @@
     ) -> None:
         """Takes in a request that ran out of time."""
         self._add_ratio(ratio, now_s)
-        self._ramp.on_slow(self.slowness(now_s), now_s)
+        if self._alarm.add(ratio):
+            self._ramp.on_slow(now_s)
         self._fail(peers_share, now_s)
 
     def on_break(self, peers_share: float, now_s: float) -> None:
@@ -183,13 +215,18 @@
     def on_refused_connection(self, now_s: float) -> None:
         """Takes in a refused connection: nothing listens there now."""
         self.on_restart(now_s)
+        self._is_down = True
+        self._probed_s = now_s
         self._outlier.on_failure()
         self._eject(now_s)
 
     def on_restart(self, now_s: float) -> None:
         """Falls back to what a server bears that has just started."""
+        if not self.is_cold:
+            self._before = (self._incarnation, self._ramp.limit)
         self._ramp.restart(now_s)
         self._ratio = 1.0
+        self._alarm.clear()
         self._move(life.Event.RESTARTED)
 
     def on_report(
@@ -202,17 +239,44 @@
         self._load.on_report(report, own_in_flight, now_s)
         self._on_incarnation(report.incarnation, now_s)
         trusted = self._load.trust >= _TRUSTED
+        if trusted:
+            self._refute_restart(report.incarnation, now_s)
         self._ramp.on_reported_limit(report.limit if trusted else None)
 
     def on_sign(self, sign: sample.ServerSign, now_s: float) -> None:
         """Takes in what another instance learned."""
-        if sign.incarnation < self._incarnation:
+        if 0 < sign.incarnation < self._incarnation:
             return
-        is_news = sign.incarnation > self._incarnation
         self._on_incarnation(sign.incarnation, now_s)
-        if sign.limit < self._ramp.limit or is_news:
+        if sign.is_cold and not self.is_cold:
+            self.on_restart(now_s)
+        if self.is_cold:
             self._ramp.restore(sign.limit, now_s)
-        self._settle()
+            self._settle()
+        self._told = self.sign()
+
+    def sign(self) -> sample.ServerSign:
+        """Returns what other instances should know."""
+        return sample.ServerSign(
+            self.server.server_id,
+            self._incarnation,
+            self._ramp.limit,
+            self.is_cold,
+        )
+
+    def take_news(self) -> sample.ServerSign | None:
+        """Returns the sign if others don't know it, and counts it as told.
+
+        A limit that was cut while warm stays with this instance: the others
+        see by themselves how the server serves them.
+        """
+        sign = self.sign()
+        told = self._told
+        is_same = told is not None and told.is_cold == sign.is_cold
+        if is_same and (not sign.is_cold or told == sign):
+            return None
+        self._told = sign
+        return sign
 
     def on_listed(self, backend: server.BackendServer, *, live: bool) -> None:
         """Takes in the platform's listing."""
@@ -235,6 +299,15 @@
             self.on_restart(now_s)
         self._incarnation = incarnation
 
+    def _refute_restart(self, incarnation: int, now_s: float) -> None:
+        """Takes back a supposed restart when the process is the same."""
+        before, self._before = self._before, None
+        if before is None or incarnation == 0 or not self.is_cold:
+            return
+        if before[0] == incarnation:
+            self._ramp.restore(before[1], now_s)
+            self._move(life.Event.RAMPED)
+
     def _add_ratio(self, ratio: float, now_s: float) -> None:
         faded = math.exp((self._ratio_s - now_s) / _RATIO_MEMORY_S)
         kept = 1.0 + (self._ratio - 1.0) * faded
@@ -257,12 +330,9 @@
         self._settle()
 
     def _settle(self) -> None:
-        if not self._ramp.is_full:
-            self._move(life.Event.HELD_BACK)
-            return
-        if self.life is life.Life.WARMING:
+        if self._ramp.is_full:
             self._outlier.settle()
-        self._move(life.Event.RAMPED)
+            self._move(life.Event.RAMPED)
 
     def _move(self, event: life.Event) -> None:
         self.life = life.next_life(self.life, event)
