Fold configuration edits from the platform's log

Cause: entry instances keep nothing, so what is in force must be folded from the log alike on each of them. Conclusion: edits are accepted, refused as conflicts or settled after a lost answer, over memory and HTTP; tests in packages/state.

--- /dev/null
+++ b/packages/state/tests/test_publish.py
@@ -0,0 +1,108 @@
+"""Publishing edits through followers, with the log's faults."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+
+from magnoliacrank.model import configuration
+from magnoliacrank.platform import http_log_service
+from magnoliacrank.standins import log_service as log_stand_in
+from magnoliacrank.standins import memory_log
+from magnoliacrank.state import appender as appender_lib
+from magnoliacrank.state import edit as edit_lib
+from magnoliacrank.state import log_follower
+from magnoliacrank.state import publisher
+
+OUT = configuration.DataCentreState.OUT
+
+
+def edit_of(name):
+    return edit_lib.Edit(data_centres={name: OUT})
+
+
+@contextlib.asynccontextmanager
+async def node(log):
+    follower = log_follower.LogFollower(
+        log, long_poll_s=0.05, retry_delay_s=0.01
+    )
+    appender = appender_lib.Appender(
+        log, follower, appends_per_s=1000.0, settle_s=0.05, retry_delay_s=0.01
+    )
+    await follower.start()
+    await appender.start()
+    try:
+        yield follower, publisher.Publisher(follower, appender)
+    finally:
+        await appender.close()
+        await follower.close()
+
+
+async def test_publish_in_turn_accepted_everywhere():
+    log = memory_log.MemoryLog()
+    async with node(log) as (one, first), node(log) as (two, second):
+        await one.wait_until_ready()
+        assert await first.publish(edit_of("a"), 0) == publisher.Accepted(1, 0)
+        result = await second.publish(edit_of("b"), 1)
+        assert result == publisher.Accepted(2, 1)
+        assert two.state.configuration.data_centres == {"a": OUT, "b": OUT}
+
+
+async def test_publish_stale_base_conflicts_and_names_the_edit():
+    log = memory_log.MemoryLog()
+    async with node(log) as (_, first), node(log) as (_, second):
+        await first.publish(edit_of("a"), 0, author="ana")
+        result = await second.publish(edit_of("b"), 0)
+        assert isinstance(result, publisher.Conflict)
+        (by,) = result.edits
+        assert (by.version, by.author) == (1, "ana")
+        assert by.changes == ("data_centres.a",)
+
+
+async def test_publish_again_gives_first_result():
+    log = memory_log.MemoryLog()
+    async with node(log) as (_, first), node(log) as (_, second):
+        once = await first.publish(edit_of("a"), 0)
+        assert await second.publish(edit_of("a"), 0) == once
+
+
+async def test_publish_answer_lost_accepted_once():
+    log = memory_log.MemoryLog()
+    log.faults.lost_answers = 2
+    async with node(log) as (follower, first):
+        result = await first.publish(edit_of("a"), 0)
+        assert result == publisher.Accepted(1, 0)
+        assert follower.state.version == 1
+
+
+@pytest.mark.parametrize(
+    ("is_down", "expected"),
+    [
+        (True, publisher.NotPublished(appender_lib.Failure.LOG_UNAVAILABLE)),
+        (False, publisher.Accepted(1, 0)),
+    ],
+)
+async def test_publish_over_http_tells_outcome(is_down, expected):
+    stand_in = log_stand_in.LogServiceStandIn()
+    await stand_in.start()
+    stand_in.stream("s").faults.is_down = is_down
+    log = http_log_service.HttpLogService(stand_in.url, "s")
+    await log.start()
+    async with node(log) as (_, first):
+        assert await first.publish(edit_of("a"), 0, timeout_s=0.3) == expected
+    await log.close()
+    await stand_in.close()
+
+
+async def test_publish_over_http_answer_lost_settled():
+    stand_in = log_stand_in.LogServiceStandIn()
+    await stand_in.start()
+    stand_in.stream("s").faults.lost_answers = 1
+    log = http_log_service.HttpLogService(stand_in.url, "s")
+    await log.start()
+    async with node(log) as (_, first):
+        result = await first.publish(edit_of("a"), 0)
+        assert result == publisher.Accepted(1, 0)
+    await log.close()
+    await stand_in.close()
