--- /dev/null
+++ b/packages/policy/src/magnoliacrank/policy/route_latency.py
@@ -0,0 +1,33 @@
+"""Usual latency of one route, as the measure for single servers."""
+
+from __future__ import annotations
+
+from magnoliacrank.policy import quantile_tracker
+
+_INITIAL_S = 0.02
+_LATE_FACTOR = 2.0
+
+
+class RouteLatency:
+    """Follows the median and the tail of a route's served answers."""
+
+    __slots__ = ("_median", "_tail")
+
+    def __init__(self) -> None:
+        self._median = quantile_tracker.QuantileTracker(0.5)
+        self._tail = quantile_tracker.QuantileTracker(0.95)
+
+    @property
+    def expected_s(self) -> float:
+        """Median latency in seconds."""
+        return self._median.value or _INITIAL_S
+
+    @property
+    def late_s(self) -> float:
+        """Age in seconds from which an unfinished request counts as late."""
+        return max(self._tail.value, _LATE_FACTOR * self.expected_s)
+
+    def add(self, latency_s: float) -> None:
+        """Takes in one served answer."""
+        self._median.add(latency_s)
+        self._tail.add(latency_s)
--- /dev/null
+++ b/packages/policy/src/magnoliacrank/policy/router.py
@@ -0,0 +1,413 @@
+"""Chooses the backend server for each request of one service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import attrs
+
+from magnoliacrank.model import request
+from magnoliacrank.model import server
+from magnoliacrank.model import verdict
+from magnoliacrank.policy import life
+from magnoliacrank.policy import route_latency
+from magnoliacrank.policy import sample
+from magnoliacrank.policy import server_state
+from magnoliacrank.policy import version_shares
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+    import random
+
+    from magnoliacrank.model import ids
+
+_PEERS_WEIGHT = 0.02
+_NOTHING: frozenset[ids.DataCentre] = frozenset()
+
+
+class SlotView(Protocol):
+    """What the router needs to know of the slots that an instance holds."""
+
+    def free(self, server_id: ids.ServerId, now_s: float) -> int:
+        """Returns how many requests may be dispatched to a server now."""
+        ...
+
+
+@attrs.frozen
+class RouterOptions:
+    """Constants of the choice."""
+
+    choices: int = 3
+    """Candidates compared for a request in a data centre."""
+
+    spill_cost: float = 4.0
+    """Cost of the best server at home from which others are compared."""
+
+    panic_share: float = 0.5
+    """Share of ejected servers from which ejection is no longer obeyed."""
+
+
+@attrs.define
+class _Group:
+    """Servers of one version: those in the own data centre and the others."""
+
+    local: list[server_state.ServerState] = attrs.Factory(list)
+    remote: list[server_state.ServerState] = attrs.Factory(list)
+
+
+class Router:
+    """Decides for one service on one entry instance; it does no I/O."""
+
+    def __init__(
+        self,
+        own_data_centre: ids.DataCentre,
+        slots: SlotView,
+        rng: random.Random,
+        options: RouterOptions | None = None,
+    ) -> None:
+        self._own = own_data_centre
+        self._slots = slots
+        self._rng = rng
+        self._options = options or RouterOptions()
+        self._states: dict[ids.ServerId, server_state.ServerState] = {}
+        self._out: frozenset[ids.DataCentre] = _NOTHING
+        self._groups: dict[ids.SoftwareVersion, _Group] = {}
+        self._shares: dict[str, version_shares.VersionShares] = {}
+        self._usual: dict[
+            tuple[str, ids.DataCentre], route_latency.RouteLatency
+        ] = {}
+        self._failure_share = 0.0
+        self._signs: dict[ids.ServerId, sample.ServerSign] = {}
+
+    @property
+    def server_ids(self) -> Collection[ids.ServerId]:
+        """Servers that are known, in whatever state."""
+        return self._states.keys()
+
+    def set_servers(
+        self, servers: Sequence[server.BackendServer], now_s: float
+    ) -> None:
+        """Takes in a changed listing; servers not in it get no new work."""
+        listed = {backend.server_id for backend in servers}
+        for backend in servers:
+            state = self._states.get(backend.server_id)
+            if state is None:
+                state = server_state.ServerState(backend, now_s)
+                self._states[backend.server_id] = state
+            live = backend.state is server.ListedState.LIVE
+            state.on_listed(backend, live=live)
+        for server_id, state in list(self._states.items()):
+            if server_id not in listed:
+                state.on_unlisted()
+                self._forget_gone(server_id, state)
+        self._regroup()
+
+    def set_data_centres_out(self, out: frozenset[ids.DataCentre]) -> None:
+        """Takes in which data centres get no new work."""
+        self._out = out
+        self._regroup()
+
+    def set_version_shares(
+        self, shares: Mapping[str, Mapping[ids.SoftwareVersion, float]]
+    ) -> None:
+        """Takes in each version's share by route.
+
+        A version without a share on a route gets nothing there; a route that
+        is not in the mapping uses all versions alike.
+        """
+        self._shares = {
+            route: version_shares.VersionShares(by_version)
+            for route, by_version in shares.items()
+        }
+
+    def choose(
+        self,
+        route: str,
+        request_class: request.RequestClass,
+        excluded: Collection[ids.ServerId],
+        now_s: float,
+    ) -> ids.ServerId | sample.NoServer:
+        """Returns the server for a request, which has a free slot.
+
+        Args:
+            route: Name of the route.
+            request_class: Class of the route.
+            excluded: Servers that this request must not go to, such as those
+                that failed it before.
+            now_s: Monotonic time in seconds.
+        """
+        for group in self._order(route, is_retry=bool(excluded)):
+            state = self._choose_in(
+                group, route, request_class, excluded, now_s
+            )
+            if state is not None:
+                return state.server.server_id
+        return sample.NoServer(self._reason(excluded))
+
+    def on_dispatch(
+        self, server_id: ids.ServerId, route: str, now_s: float
+    ) -> sample.Dispatch:
+        """Counts a request as sent and returns the handle of its end."""
+        state = self._states[server_id]
+        usual = self._usual_of(route, state.server.data_centre)
+        return state.on_dispatch(route, usual, now_s)
+
+    def on_answer(
+        self,
+        dispatch: sample.Dispatch,
+        answer: sample.AnswerSample,
+        now_s: float,
+    ) -> None:
+        """Takes in the whole answer of a dispatch."""
+        state = self._end(dispatch)
+        if state is None:
+            return
+        own_in_flight = len(state.in_flight)
+        if answer.report is not None:
+            state.on_report(answer.report, own_in_flight, now_s)
+        self._on_status(state, dispatch.route, answer, now_s)
+        self._note_sign(state)
+
+    def on_failure(
+        self,
+        dispatch: sample.Dispatch,
+        kind: sample.FailureKind,
+        now_s: float,
+    ) -> None:
+        """Takes in a dispatch that ended without a whole answer."""
+        state = self._end(dispatch)
+        if state is None or kind is sample.FailureKind.CALLER_GONE:
+            return
+        age_s = now_s - dispatch.started_s
+        self._on_kind(state, kind, age_s / dispatch.expected_s, now_s)
+        self._note_sign(state)
+
+    def on_probe(
+        self,
+        server_id: ids.ServerId,
+        outcome: sample.AnswerSample | sample.FailureKind,
+        now_s: float,
+    ) -> None:
+        """Takes in the outcome of a probe sent outside any request."""
+        state = self._states.get(server_id)
+        if state is None:
+            return
+        if isinstance(outcome, sample.FailureKind):
+            self._on_kind(state, outcome, 1.0, now_s)
+        elif outcome.report is not None:
+            state.on_report(outcome.report, len(state.in_flight), now_s)
+        self._note_sign(state)
+
+    def on_sign(self, sign: sample.ServerSign, now_s: float) -> None:
+        """Takes in what another instance of the crew learned."""
+        state = self._states.get(sign.server_id)
+        if state is not None:
+            state.on_sign(sign, now_s)
+
+    def take_signs(self) -> tuple[sample.ServerSign, ...]:
+        """Returns the signs to tell the crew since the last call."""
+        signs = tuple(self._signs.values())
+        self._signs.clear()
+        return signs
+
+    def signs(self) -> tuple[sample.ServerSign, ...]:
+        """Returns the sign of every server, for an instance that joins."""
+        return tuple(_sign_of(state) for state in self._states.values())
+
+    def limit(self, server_id: ids.ServerId, now_s: float) -> int:
+        """Returns the concurrency that a server bears over all instances."""
+        del now_s
+        state = self._states.get(server_id)
+        return 0 if state is None else state.limit
+
+    def life(self, server_id: ids.ServerId) -> life.Life:
+        """Returns the state of a server in its life cycle."""
+        state = self._states.get(server_id)
+        return life.Life.GONE if state is None else state.life
+
+    def _order(self, route: str, *, is_retry: bool) -> Iterable[_Group]:
+        shares = self._shares.get(route)
+        if shares is None:
+            return self._groups.values()
+        versions = shares.order(is_retry=is_retry)
+        return [self._groups[v] for v in versions if v in self._groups]
+
+    def _choose_in(
+        self,
+        group: _Group,
+        route: str,
+        request_class: request.RequestClass,
+        excluded: Collection[ids.ServerId],
+        now_s: float,
+    ) -> server_state.ServerState | None:
+        if request_class is request.RequestClass.IDEMPOTENT:
+            trial = self._find_trial(group, excluded, now_s)
+            if trial is not None:
+                return trial
+        local, local_cost = self._cheapest(group.local, excluded, now_s)
+        if local is not None and local_cost < self._options.spill_cost:
+            return local
+        remote, remote_cost = self._cheapest(group.remote, excluded, now_s)
+        if local is None or remote is None:
+            return local or remote
+        local_s = local_cost * self._expected_s(route, local)
+        remote_s = remote_cost * self._expected_s(route, remote)
+        return local if local_s <= remote_s else remote
+
+    def _find_trial(
+        self,
+        group: _Group,
+        excluded: Collection[ids.ServerId],
+        now_s: float,
+    ) -> server_state.ServerState | None:
+        for state in group.local:
+            if not _is_due(state, now_s):
+                continue
+            server_id = state.server.server_id
+            if server_id in excluded:
+                continue
+            if self._slots.free(server_id, now_s) > 0:
+                return state
+        return None
+
+    def _cheapest(
+        self,
+        states: list[server_state.ServerState],
+        excluded: Collection[ids.ServerId],
+        now_s: float,
+    ) -> tuple[server_state.ServerState | None, float]:
+        best = None
+        best_cost = 0.0
+        seen = 0
+        obey = self._obeys_ejection(states)
+        for state in self._shuffled(states):
+            if obey and state.life is life.Life.SUSPECT:
+                continue
+            server_id = state.server.server_id
+            if server_id in excluded:
+                continue
+            if self._slots.free(server_id, now_s) <= 0:
+                continue
+            cost = state.cost(now_s)
+            if best is None or cost < best_cost:
+                best, best_cost = state, cost
+            seen += 1
+            if seen >= self._options.choices:
+                break
+        return best, best_cost
+
+    def _shuffled(
+        self, states: list[server_state.ServerState]
+    ) -> Iterable[server_state.ServerState]:
+        count = len(states)
+        if count < 2:
+            return states
+        return self._rng.sample(states, count)
+
+    def _obeys_ejection(self, states: list[server_state.ServerState]) -> bool:
+        ejected = sum(s.life is life.Life.SUSPECT for s in states)
+        return ejected <= self._options.panic_share * len(states)
+
+    def _reason(self, excluded: Collection[ids.ServerId]) -> verdict.Reason:
+        for group in self._groups.values():
+            for state in (*group.local, *group.remote):
+                if state.server.server_id not in excluded:
+                    return verdict.Reason.OVERLOADED
+        return verdict.Reason.NO_SERVER
+
+    def _end(
+        self, dispatch: sample.Dispatch
+    ) -> server_state.ServerState | None:
+        state = self._states.get(dispatch.server_id)
+        if state is None:
+            return None
+        state.on_end(dispatch)
+        self._forget_gone(dispatch.server_id, state)
+        return state
+
+    def _on_status(
+        self,
+        state: server_state.ServerState,
+        route: str,
+        answer: sample.AnswerSample,
+        now_s: float,
+    ) -> None:
+        is_ok = answer.status is sample.AnswerStatus.OK
+        self._count(is_failure=not is_ok)
+        if answer.status is sample.AnswerStatus.SHED:
+            state.on_shed(now_s)
+        elif answer.status is sample.AnswerStatus.ERROR:
+            state.on_error(self._failure_share, now_s)
+        else:
+            usual = self._usual_of(route, state.server.data_centre)
+            state.on_served(answer.latency_s / usual.expected_s, now_s)
+            usual.add(answer.latency_s)
+
+    def _on_kind(
+        self,
+        state: server_state.ServerState,
+        kind: sample.FailureKind,
+        ratio: float,
+        now_s: float,
+    ) -> None:
+        self._count(is_failure=True)
+        if kind is sample.FailureKind.CONNECT_FAILED:
+            state.on_refused_connection(now_s)
+        elif kind is sample.FailureKind.TIMEOUT:
+            state.on_timeout(ratio, self._failure_share, now_s)
+        else:
+            state.on_break(self._failure_share, now_s)
+
+    def _count(self, *, is_failure: bool) -> None:
+        target = 1.0 if is_failure else 0.0
+        self._failure_share += (target - self._failure_share) * _PEERS_WEIGHT
+
+    def _note_sign(self, state: server_state.ServerState) -> None:
+        if state.life is not life.Life.READY:
+            self._signs[state.server.server_id] = _sign_of(state)
+
+    def _expected_s(self, route: str, state: server_state.ServerState) -> float:
+        return self._usual_of(route, state.server.data_centre).expected_s
+
+    def _usual_of(
+        self, route: str, data_centre: ids.DataCentre
+    ) -> route_latency.RouteLatency:
+        usual = self._usual.get((route, data_centre))
+        if usual is None:
+            usual = route_latency.RouteLatency()
+            self._usual[(route, data_centre)] = usual
+        return usual
+
+    def _forget_gone(
+        self, server_id: ids.ServerId, state: server_state.ServerState
+    ) -> None:
+        if state.life is life.Life.GONE:
+            self._states.pop(server_id, None)
+
+    def _regroup(self) -> None:
+        self._groups = {}
+        for state in self._states.values():
+            backend = state.server
+            if backend.data_centre in self._out:
+                continue
+            if state.life in (life.Life.LEAVING, life.Life.GONE):
+                continue
+            group = self._groups.setdefault(backend.version, _Group())
+            is_local = backend.data_centre == self._own
+            (group.local if is_local else group.remote).append(state)
+
+
+def _is_due(state: server_state.ServerState, now_s: float) -> bool:
+    if state.life is life.Life.SUSPECT:
+        return state.may_try(now_s)
+    return state.wants_trickle(now_s)
+
+
+def _sign_of(state: server_state.ServerState) -> sample.ServerSign:
+    return sample.ServerSign(
+        state.server.server_id, state.incarnation, state.limit
+    )
