--- a/packages/state/src/magnoliacrank/state/move.py
+++ b/packages/model/src/magnoliacrank/model/move.py
@@ -41,6 +41,7 @@
     DEADLINE_MISSED = "deadline-missed"
     DEADLINE_PAST = "deadline-past"
     TOO_FEW_SERVERS = "too-few-servers"
+    OLD_VERSION_GONE = "old-version-gone"
     EDITED = "edited"
 
 
--- /dev/null
+++ b/packages/policy/src/magnoliacrank/policy/fault_test.py
@@ -0,0 +1,104 @@
+"""Sequential test of whether a new version has more faults than the old.
+
+Within a block of requests on one route, which version a request went to says
+nothing about its outcome if the versions are alike. So, given the number of
+faults in a block, the number among the new version's requests follows a
+hypergeometric distribution. Each block is a bet against that at fair odds; the
+product of the bets rarely grows large if the versions are alike: the chance
+that it ever reaches 1/a is at most a (Ville's inequality), at any time and
+however load or the common fault rate shifts. The bets are averaged over
+several odds ratios and over all blocks at which a fault could begin.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+_ODDS_RATIOS = (3.0, 10.0, 100.0)
+_MAX_EVIDENCE = 1e15
+_MAX_LOG_BET = 50.0
+
+
+@attrs.frozen
+class FaultCounts:
+    """Requests of one block and the faults among them."""
+
+    new_requests: int
+    """Requests to the new version."""
+
+    new_faults: int
+    """Faults among them."""
+
+    old_requests: int
+    """Requests to the old version."""
+
+    old_faults: int
+    """Faults among them."""
+
+    @property
+    def is_informative(self) -> bool:
+        """Whether the block can tell the versions apart."""
+        faults = self.new_faults + self.old_faults
+        requests = self.new_requests + self.old_requests
+        has_both = self.new_requests > 0 and self.old_requests > 0
+        return has_both and 0 < faults < requests
+
+
+class FaultTest:
+    """Evidence against one version on one route, block by block."""
+
+    def __init__(self) -> None:
+        self._blocks = 0
+        self._wealth = [0.0] * len(_ODDS_RATIOS)
+
+    @property
+    def evidence(self) -> float:
+        """Evidence of a fault; at least 1/a with a chance of at most a."""
+        reserve = 1.0 / (self._blocks + 1)
+        return reserve + sum(self._wealth) / len(_ODDS_RATIOS)
+
+    def on_block(self, counts: FaultCounts) -> None:
+        """Takes the counts of one block; each block counts once."""
+        if not counts.is_informative:
+            return
+        stake = 1.0 / ((self._blocks + 1) * (self._blocks + 2))
+        self._blocks += 1
+        for index, odds_ratio in enumerate(_ODDS_RATIOS):
+            wealth = self._wealth[index] + stake
+            wealth *= math.exp(_log_bet(counts, odds_ratio))
+            self._wealth[index] = min(wealth, _MAX_EVIDENCE)
+
+
+def _log_bet(counts: FaultCounts, odds_ratio: float) -> float:
+    """Returns the logarithm of the likelihood ratio of a block."""
+    faults = counts.new_faults + counts.old_faults
+    log_odds = math.log(odds_ratio)
+    least = max(0, faults - counts.old_requests)
+    most = min(faults, counts.new_requests)
+    weights = [
+        _log_choose(counts.new_requests, new_faults)
+        + _log_choose(counts.old_requests, faults - new_faults)
+        for new_faults in range(least, most + 1)
+    ]
+    tilted = [
+        weight + (least + index) * log_odds
+        for index, weight in enumerate(weights)
+    ]
+    expected = _log_sum(tilted) - _log_sum(weights)
+    bet = counts.new_faults * log_odds - expected
+    return min(max(bet, -_MAX_LOG_BET), _MAX_LOG_BET)
+
+
+def _log_choose(count: int, chosen: int) -> float:
+    return (
+        math.lgamma(count + 1)
+        - math.lgamma(chosen + 1)
+        - math.lgamma(count - chosen + 1)
+    )
+
+
+def _log_sum(logs: list[float]) -> float:
+    largest = max(logs)
+    return largest + math.log(sum(math.exp(each - largest) for each in logs))
--- a/packages/state/src/magnoliacrank/state/fold_moves.py
+++ b/packages/state/src/magnoliacrank/state/fold_moves.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from magnoliacrank.model import move
 from magnoliacrank.state import log_state
-from magnoliacrank.state import move
 
 if TYPE_CHECKING:
     from magnoliacrank.model import configuration
--- a/packages/state/src/magnoliacrank/state/log_state.py
+++ b/packages/state/src/magnoliacrank/state/log_state.py
@@ -9,7 +9,7 @@
 from magnoliacrank.model import configuration as configuration_lib
 from magnoliacrank.model import crew
 from magnoliacrank.model import ids
-from magnoliacrank.state import move
+from magnoliacrank.model import move
 
 _START = ids.LogOffset(0)
 _NOWHERE = ids.LogOffset(-1)
--- a/packages/state/src/magnoliacrank/state/messages.py
+++ b/packages/state/src/magnoliacrank/state/messages.py
@@ -10,8 +10,8 @@
 from magnoliacrank.model import configuration as configuration_lib
 from magnoliacrank.model import crew as crew_lib
 from magnoliacrank.model import ids
+from magnoliacrank.model import move as move_lib
 from magnoliacrank.state import log_state
-from magnoliacrank.state import move as move_lib
 from magnoliacrank.state import readiness as readiness_lib
 from magnoliacrank.state import records
 
--- /dev/null
+++ b/packages/state/src/magnoliacrank/state/move_table.py
@@ -0,0 +1,250 @@
+"""Move table: the moves that this instance takes part in."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from absl import logging
+import attrs
+
+from magnoliacrank.model import ids
+from magnoliacrank.model import server
+from magnoliacrank.policy import rollout
+from magnoliacrank.policy import rollout_evidence
+from magnoliacrank.state import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from magnoliacrank.model import configuration as configuration_lib
+    from magnoliacrank.model import instance
+    from magnoliacrank.model import move as move_lib
+    from magnoliacrank.state import log_follower
+
+Shares = dict[ids.SoftwareVersion, float]
+"""Share of each version; they sum to one."""
+
+
+@attrs.frozen
+class SharesChanged:
+    """The shares of a service's versions changed on this instance."""
+
+    service: ids.ServiceName
+    """Service whose shares changed."""
+
+    routes: dict[str, Shares]
+    """Shares by route."""
+
+
+class MoveTable:
+    """Gives the shares to route by and collects evidence on new versions.
+
+    It holds one rollout tracker for each running move of the services that
+    this instance carries.
+    """
+
+    def __init__(
+        self,
+        follower: log_follower.LogFollower,
+        *,
+        instance_id: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        rules: rollout.RolloutRules | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        unix_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._follower = follower
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._rules = rules or rollout.RolloutRules()
+        self._clock = clock
+        self._unix_clock = unix_clock
+        self._trackers: dict[ids.ServiceName, rollout.RolloutTracker] = {}
+        self._shares: dict[ids.ServiceName, dict[str, Shares]] = {}
+        self._listing: instance.Listing | None = None
+        self._subscribers: list[Callable[[SharesChanged], None]] = []
+        follower.subscribe(self.on_message)
+        self._refresh_all()
+
+    @property
+    def trackers(self) -> Mapping[ids.ServiceName, rollout.RolloutTracker]:
+        """Trackers of the running moves."""
+        return self._trackers
+
+    def subscribe(self, handler: Callable[[SharesChanged], None]) -> None:
+        """Calls a handler with each change of shares; it must not block."""
+        self._subscribers.append(handler)
+
+    def shares(self, service: ids.ServiceName, route: str) -> Shares:
+        """Returns the share of each version; empty for unknown routes."""
+        return self._shares.get(service, {}).get(route, {})
+
+    def on_sample(
+        self,
+        service: ids.ServiceName,
+        route: str,
+        version: ids.SoftwareVersion,
+        latency_s: float,
+        ok: bool,  # noqa: FBT001 - one sample, in the order of its fields
+        *,
+        is_cold: bool = False,
+    ) -> None:
+        """Takes the outcome of one dispatched request."""
+        tracker = self._trackers.get(service)
+        if tracker is None:
+            return
+        tracker.on_sample(route, version, latency_s, ok, is_cold=is_cold)
+        if tracker.fault is not None:
+            self._refresh(service)
+
+    def on_tick(self) -> tuple[rollout_evidence.Evidence, ...]:
+        """Ends the open blocks; returns what to send to the crews' members.
+
+        Called about twice a second.
+        """
+        told: list[rollout_evidence.Evidence] = []
+        for service, tracker in tuple(self._trackers.items()):
+            tracker.on_tick()
+            evidence = tracker.take_evidence()
+            if evidence is not None:
+                told.append(evidence)
+            self._refresh(service)
+        return tuple(told)
+
+    def on_evidence(self, evidence: rollout_evidence.Evidence) -> None:
+        """Takes the evidence that a member of a crew sent."""
+        for service, tracker in tuple(self._trackers.items()):
+            if tracker.move.move_id == evidence.move_id:
+                tracker.on_evidence(evidence)
+                self._refresh(service)
+
+    def on_listing(self, listing: instance.Listing) -> None:
+        """Takes a newer answer of the instance list."""
+        self._listing = listing
+        for service, tracker in tuple(self._trackers.items()):
+            self._set_capacity(tracker)
+            self._refresh(service)
+
+    def on_message(self, message: messages.StateMessage) -> None:
+        """Takes what changed in the fold."""
+        if isinstance(message, messages.MoveChanged):
+            self._on_move(message.move)
+            self._refresh(message.move.service)
+        elif isinstance(message, messages.ConfigurationChanged):
+            self._refresh_all()
+
+    def verdicts(
+        self,
+    ) -> Iterable[tuple[move_lib.Move, rollout.RolloutVerdict]]:
+        """Yields each running move with what shall become of it now."""
+        now_s = self._clock()
+        for tracker in tuple(self._trackers.values()):
+            yield tracker.move, tracker.verdict(now_s)
+
+    def _on_move(self, move: move_lib.Move) -> None:
+        if move.phase.is_final:
+            self._trackers.pop(move.service, None)
+            return
+        now_s = self._clock()
+        deadline_s = self._to_monotonic(move.deadline_s, now_s)
+        tracker = self._trackers.get(move.service)
+        if tracker is not None and tracker.move.move_id == move.move_id:
+            tracker.on_move(move, now_s, deadline_s)
+            return
+        tracker = rollout.RolloutTracker(
+            move,
+            self._route_names(move.service),
+            origin=self._instance_id,
+            incarnation=self._incarnation,
+            now_s=now_s,
+            deadline_s=deadline_s,
+            rules=self._rules,
+        )
+        self._trackers[move.service] = tracker
+        self._set_capacity(tracker)
+
+    def _to_monotonic(self, unix_s: float | None, now_s: float) -> float | None:
+        if unix_s is None:
+            return None
+        return now_s + unix_s - self._unix_clock()
+
+    def _route_names(self, service: ids.ServiceName) -> tuple[str, ...]:
+        found = self._follower.state.configuration.find_service(service)
+        if found is None:
+            return ()
+        return tuple(route.name for route in found[1].routes)
+
+    def _set_capacity(self, tracker: rollout.RolloutTracker) -> None:
+        if self._listing is None:
+            return
+        move = tracker.move
+        tracker.on_capacity(
+            rollout.Capacity(
+                old_slots=self._slots(move.service, move.old_version),
+                new_slots=self._slots(move.service, move.new_version),
+            )
+        )
+
+    def _slots(
+        self, service: ids.ServiceName, version: ids.SoftwareVersion
+    ) -> int:
+        if self._listing is None:
+            return 0
+        return sum(
+            each.slots
+            for each in self._listing.servers
+            if each.service == service
+            and each.version == version
+            and each.state is server.ListedState.LIVE
+        )
+
+    def _refresh_all(self) -> None:
+        state = self._follower.state
+        for move in state.moves.values():
+            self._on_move(move)
+        known: set[ids.ServiceName] = set()
+        for plan in state.configuration.plans:
+            for service in plan.services:
+                known.add(service.name)
+                tracker = self._trackers.get(service.name)
+                if tracker is not None:
+                    tracker.on_routes(self._route_names(service.name))
+                self._refresh(service.name)
+        for name in [each for each in self._shares if each not in known]:
+            del self._shares[name]
+            self._trackers.pop(name, None)
+
+    def _refresh(self, service: ids.ServiceName) -> None:
+        found = self._follower.state.configuration.find_service(service)
+        if found is None:
+            return
+        routes = self._routes_shares(found[1])
+        if routes == self._shares.get(service):
+            return
+        self._shares[service] = routes
+        tracker = self._trackers.get(service)
+        if tracker is not None and tracker.fault is not None:
+            logging.warning(
+                "state: Stopped %s of %s for %s on route %s.",
+                tracker.move.new_version,
+                service,
+                tracker.fault.reason.value,
+                tracker.fault.route,
+            )
+        for handler in self._subscribers:
+            handler(SharesChanged(service, routes))
+
+    def _routes_shares(
+        self, plan: configuration_lib.ServicePlan
+    ) -> dict[str, Shares]:
+        tracker = self._trackers.get(plan.name)
+        if tracker is not None:
+            moving = tracker.shares(self._clock())
+            return {name: dict(shares) for name, shares in moving.items()}
+        version = self._follower.state.serving_version(plan.name)
+        if version is None:
+            return {}
+        return {route.name: {version: 1.0} for route in plan.routes}
--- /dev/null
+++ b/packages/state/src/magnoliacrank/state/moves.py
@@ -0,0 +1,131 @@
+"""Moves job: the holder of its term records the steps of all moves."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from magnoliacrank.model import move as move_lib
+from magnoliacrank.policy import rollout
+from magnoliacrank.state import appender as appender_lib
+from magnoliacrank.state import records
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliacrank.policy import rollout_evidence
+    from magnoliacrank.state import move_table
+    from magnoliacrank.state import term_keeper
+
+JOB = "moves"
+"""Name of the singular job."""
+
+_TICK_S = 0.5
+_APPEND_TIMEOUT_S = 5.0
+
+_PHASES = {
+    rollout.Decision.GROW: move_lib.Phase.RUNNING,
+    rollout.Decision.COMPLETE: move_lib.Phase.DONE,
+    rollout.Decision.TAKE_BACK: move_lib.Phase.TAKEN_BACK,
+}
+
+
+class MovesJob:
+    """Ticks the move table and, while the term is held, records steps."""
+
+    def __init__(
+        self,
+        table: move_table.MoveTable,
+        keeper: term_keeper.TermKeeper,
+        appender: appender_lib.Appender,
+        *,
+        send_evidence: Callable[[rollout_evidence.Evidence], None],
+        tick_s: float = _TICK_S,
+    ) -> None:
+        """Sets up the job.
+
+        Args:
+            table: Moves of this instance.
+            keeper: Keeper of the term of `JOB`.
+            appender: Way into the log.
+            send_evidence: Sends evidence to the other instances; it must not
+                block.
+            tick_s: Seconds between looks.
+        """
+        self._table = table
+        self._keeper = keeper
+        self._appender = appender
+        self._send_evidence = send_evidence
+        self._tick_s = tick_s
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begins to tick and to record."""
+        self._tasks = [
+            asyncio.create_task(self._tick(), name="moves-tick"),
+            asyncio.create_task(self._record(), name="moves-record"),
+        ]
+
+    async def close(self) -> None:
+        """Stops."""
+        tasks = self._tasks
+        self._tasks = []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _tick(self) -> None:
+        while True:
+            for evidence in self._table.on_tick():
+                self._send_evidence(evidence)
+            await asyncio.sleep(self._tick_s)
+
+    async def _record(self) -> None:
+        while True:
+            await self._record_steps()
+            await asyncio.sleep(self._tick_s)
+
+    async def _record_steps(self) -> None:
+        fence = self._keeper.fence()
+        if fence is None:
+            return
+        steps = [
+            step
+            for move, verdict in self._table.verdicts()
+            if (step := next_step(move, verdict)) is not None
+        ]
+        await asyncio.gather(*(self._append(step, fence) for step in steps))
+
+    async def _append(
+        self, step: records.MoveRecord, fence: records.Fence
+    ) -> None:
+        result = await self._appender.append(
+            step, fence=fence, timeout_s=_APPEND_TIMEOUT_S
+        )
+        if not isinstance(result, appender_lib.Appended):
+            logging.warning(
+                "state: Step %d of %s was not recorded: %s",
+                step.step,
+                step.move_id,
+                result.reason.value,
+            )
+
+
+def next_step(
+    move: move_lib.Move, verdict: rollout.RolloutVerdict
+) -> records.MoveRecord | None:
+    """Returns the record of the step that a verdict asks for, or None."""
+    phase = _PHASES.get(verdict.decision)
+    if phase is None:
+        return None
+    return records.MoveRecord(
+        service=move.service,
+        move_id=move.move_id,
+        step=move.step + 1,
+        phase=phase,
+        route_shares=verdict.route_shares,
+        reason=verdict.reason,
+        route=verdict.route,
+    )
--- a/packages/state/src/magnoliacrank/state/records.py
+++ b/packages/state/src/magnoliacrank/state/records.py
@@ -8,9 +8,9 @@
 
 from magnoliacrank.model import crew
 from magnoliacrank.model import ids
+from magnoliacrank.model import move
 from magnoliacrank.state import edit as edit_lib
 from magnoliacrank.state import log_state
-from magnoliacrank.state import move
 
 
 @attrs.frozen
