--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 MODULES := $(addprefix magnoliacrank.,$(PACKAGES))
 SOURCES := packages $(wildcard bench tools)
 
-.PHONY: all setup demo test format lint types imports bench capacity \
+.PHONY: all setup demo test format lint types imports generate bench capacity \
 	check-histories binary clean
 
 all: test
@@ -42,6 +42,12 @@
 imports: $(STAMP)
 	$(BIN)/lint-imports
 
+# The output is committed, so only a change of peer.proto needs this.
+generate: $(STAMP)
+	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
+		-I. --python_out=. --pyi_out=. --grpc_python_out=. \
+		magnoliacrank/peers/wire/peer.proto
+
 clean:
 	rm -rf $(VENV) dist build .mypy_cache .ruff_cache
 
--- /dev/null
+++ b/packages/peers/src/magnoliacrank/peers/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated from peer.proto by `make generate`."""
