--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/caller_connection.py
@@ -0,0 +1,428 @@
+"""CallerConnection: one connection of a caller, request after request."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import time
+from typing import TYPE_CHECKING
+from typing import ClassVar
+from typing import Protocol
+
+from absl import logging
+from aiohttp import base_protocol
+from aiohttp import http_exceptions
+from aiohttp import http_parser
+
+from magnoliacrank.gateway import body
+from magnoliacrank.gateway import head_rules
+from magnoliacrank.gateway import inbound_exchange
+from magnoliacrank.gateway import refusals
+from magnoliacrank.model import verdict as verdicts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp import streams
+
+    from magnoliacrank.gateway import front_limits
+
+_PARSER_HEADERS = 4096
+"""Above the limit, which has a status of its own."""
+
+_HELD_LIMIT_BYTES = 65536
+"""Bytes of further requests that are held before reading pauses."""
+
+_LINGER_LIMIT_BYTES = 1 << 20
+"""Bytes that are read and dropped after a last answer."""
+
+_CHECKS_PER_LIMIT = 4
+"""How often the shortest limit is checked within itself."""
+
+_BAD_REQUEST = verdicts.not_run(verdicts.Reason.BAD_REQUEST)
+_OVERLOADED = verdicts.not_run(verdicts.Reason.OVERLOADED)
+
+
+class Phase(enum.IntEnum):
+    """Phase of a caller's connection."""
+
+    IDLE = 0
+    """Between requests."""
+
+    HEAD = 1
+    """Part of a head has arrived."""
+
+    BODY = 2
+    """A handler is at work and the request body is still arriving."""
+
+    ANSWER = 3
+    """A handler is at work and the request has arrived whole."""
+
+    LINGER = 4
+    """Answered for the last time; what still comes is dropped."""
+
+    CLOSED = 5
+    """Closed."""
+
+
+class FrontHandler(Protocol):
+    """What is done with a caller's request."""
+
+    async def on_request(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        """Answers one request: finishes the exchange or aborts it."""
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of the server that accepted it."""
+
+    @property
+    def handler(self) -> FrontHandler:
+        """What is done with requests."""
+
+    @property
+    def limits(self) -> front_limits.FrontLimits:
+        """Limits on the connection."""
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether each answer closes its connection."""
+
+    def on_opened(self, connection: CallerConnection) -> bool:
+        """Takes a new connection in; False when there are too many."""
+
+    def on_closed(self, connection: CallerConnection) -> None:
+        """Forgets a connection."""
+
+
+class CallerConnection(base_protocol.BaseProtocol):
+    """One connection of a caller; answers its requests in their order.
+
+    The parser stops after each request. What has come of the next one waits
+    until the present one is answered.
+    """
+
+    def __init__(
+        self, owner: ConnectionOwner, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        limits = owner.limits
+        parser = http_parser.HttpRequestParser(
+            self,
+            loop,
+            limits.body_buffer_bytes,
+            max_line_size=limits.max_line_bytes,
+            max_headers=_PARSER_HEADERS,
+            max_field_size=limits.max_field_bytes,
+            auto_decompress=False,
+            max_msg_queue_size=1,
+        )
+        super().__init__(loop, parser)
+        self._request_parser = parser
+        self._owner = owner
+        self._limits = limits
+        self._phase = Phase.IDLE
+        self._since_s = 0.0
+        self._paused_since_s = 0.0
+        self._window_bytes = 0
+        self._head_bytes = 0
+        self._dropped_bytes = 0
+        self._held = b""
+        self._is_closing = False
+        self._exchange: inbound_exchange.InboundExchange | None = None
+        self._payload: streams.StreamReader | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def phase(self) -> Phase:
+        """Phase of the connection."""
+        return self._phase
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection closes after the current answer."""
+        return self._is_closing or self._owner.is_draining
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being answered."""
+        return self._exchange is not None
+
+    def close_after_answer(self) -> None:
+        """Makes the connection close after the current answer."""
+        self._is_closing = True
+
+    def send(self, data: bytes) -> None:
+        """Writes bytes towards the caller."""
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def cut(self) -> None:
+        """Resets the connection at once."""
+        self._enter(Phase.CLOSED)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close(self) -> None:
+        """Closes the connection once what was written has left."""
+        self._enter(Phase.CLOSED)
+        if self.transport is not None:
+            self.transport.close()
+
+    async def drained(self) -> None:
+        """Returns when more bytes may be written."""
+        if not self._paused:
+            return
+        try:
+            await self._drain_helper()
+        except ConnectionError:
+            return
+
+    def new_future(self) -> asyncio.Future[None]:
+        """Returns a future of the connection's event loop."""
+        return self._loop.create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection opened."""
+        super().connection_made(transport)
+        self._enter(Phase.HEAD)
+        if not self._owner.on_opened(self):
+            self._refuse(503, _OVERLOADED)
+        self._timer = self._loop.call_later(
+            self._check_interval_s(), self._on_check
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """The connection closed."""
+        self._phase = Phase.CLOSED
+        if self._timer is not None:
+            self._timer.cancel()
+        super().connection_lost(exc)
+        if self._exchange is not None:
+            self._exchange.on_caller_gone()
+        self._owner.on_closed(self)
+
+    def pause_writing(self) -> None:
+        """The caller reads more slowly than the answer is written."""
+        super().pause_writing()
+        self._paused_since_s = self._loop.time()
+
+    def resume_reading(
+        self,
+        resume_parser: bool = True,  # noqa: FBT001, FBT002
+    ) -> None:
+        """The reader of the body has room again."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes arrived from the caller."""
+        phase = self._phase
+        if phase is Phase.ANSWER:
+            self._hold(data)
+        elif phase is Phase.LINGER:
+            self._drop(data)
+        elif phase is not Phase.CLOSED:
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            messages, upgraded, _ = self._request_parser.feed_data(data)
+        except http_exceptions.HttpProcessingError as error:
+            self._on_malformed(error)
+            return
+        if messages:
+            message, payload = messages[0]
+            self._head_bytes += len(data)
+            self._on_head(message, payload, is_upgrade=upgraded)
+        elif self._exchange is None:
+            self._on_partial_head(data)
+        else:
+            self._window_bytes += len(data)
+        self._check_body_end()
+
+    def _check_body_end(self) -> None:
+        if self._phase is not Phase.BODY:
+            return
+        if self._payload is not None and self._payload.is_eof():
+            self._enter(Phase.ANSWER)
+
+    def _on_partial_head(self, data: bytes) -> None:
+        if not data:
+            return
+        if self._phase is Phase.IDLE:
+            self._enter(Phase.HEAD)
+        self._head_bytes += len(data)
+        if self._head_bytes > self._limits.max_head_bytes:
+            self._refuse(431, _BAD_REQUEST)
+
+    def _on_head(
+        self,
+        message: http_parser.RawRequestMessage,
+        payload: streams.StreamReader,
+        *,
+        is_upgrade: bool,
+    ) -> None:
+        limits = self._limits
+        status = head_rules.refusal_status(message, limits)
+        if (
+            self._head_bytes > limits.max_head_bytes
+            and head_rules.head_size(message) > limits.max_head_bytes
+        ):
+            status = 431
+        self._head_bytes = 0
+        if status is not None:
+            self._refuse(status, _BAD_REQUEST)
+            return
+        self._is_closing = message.should_close or is_upgrade
+        exchange = inbound_exchange.InboundExchange(
+            self, message, payload, time.monotonic()
+        )
+        self._exchange = exchange
+        self._payload = payload
+        self._window_bytes = 0
+        self._enter(Phase.BODY)
+        self._task = self._loop.create_task(self._serve(exchange))
+
+    def _on_malformed(self, error: http_exceptions.HttpProcessingError) -> None:
+        self._is_closing = True
+        if self._exchange is not None:
+            self._enter(Phase.ANSWER)
+            self._exchange.fail_body(body.MALFORMED)
+            return
+        is_too_long = isinstance(error, http_exceptions.LineTooLong)
+        self._refuse(431 if is_too_long else 400, _BAD_REQUEST)
+
+    async def _serve(self, exchange: inbound_exchange.InboundExchange) -> None:
+        try:
+            await self._owner.handler.on_request(exchange)
+        except asyncio.CancelledError:
+            exchange.abort()
+            raise
+        except Exception:  # The connection outlives a fault of the handler.
+            logging.exception("gateway: Handler failed.")
+        finally:
+            self._end_exchange(exchange)
+
+    def _end_exchange(self, exchange: inbound_exchange.InboundExchange) -> None:
+        state = exchange.answer_state
+        self._exchange = None
+        self._payload = None
+        self._task = None
+        if self._phase is Phase.CLOSED:
+            return
+        if state is inbound_exchange.AnswerState.PENDING:
+            self._refuse(
+                500, verdicts.may_have_run(verdicts.Reason.CONNECTION_LOST)
+            )
+        elif state is inbound_exchange.AnswerState.STARTED:
+            exchange.abort()
+        elif self.is_closing or not exchange.is_body_whole:
+            self._linger()
+        else:
+            self._next_request()
+
+    def _next_request(self) -> None:
+        self._enter(Phase.IDLE)
+        self._request_parser.message_consumed()
+        held, self._held = self._held, b""
+        if len(held) >= _HELD_LIMIT_BYTES:
+            self._resume_transport_reading()
+        self._parse(held)
+
+    def _hold(self, data: bytes) -> None:
+        self._held += data
+        if len(self._held) >= _HELD_LIMIT_BYTES:
+            self._pause_transport_reading()
+
+    def _refuse(self, status: int, verdict: verdicts.Verdict) -> None:
+        self.send(refusals.closing_answer(status, verdict))
+        self._linger()
+
+    def _linger(self) -> None:
+        transport = self.transport
+        if transport is None:
+            return
+        self._enter(Phase.LINGER)
+        self._held = b""
+        if transport.can_write_eof():
+            transport.write_eof()
+        self._resume_transport_reading()
+
+    def _drop(self, data: bytes) -> None:
+        self._dropped_bytes += len(data)
+        if self._dropped_bytes > _LINGER_LIMIT_BYTES:
+            self.close()
+
+    def _enter(self, phase: Phase) -> None:
+        self._phase = phase
+        self._since_s = self._loop.time()
+
+    def _check_interval_s(self) -> float:
+        limits = self._limits
+        shortest = min(
+            limits.head_timeout_s,
+            limits.idle_timeout_s,
+            limits.body_window_s,
+            limits.write_timeout_s,
+            limits.linger_timeout_s,
+        )
+        return shortest / _CHECKS_PER_LIMIT
+
+    def _on_check(self) -> None:
+        check = self._checks.get(self._phase)
+        if check is None:
+            return
+        check(self, self._loop.time() - self._since_s)
+        self._timer = self._loop.call_later(
+            self._check_interval_s(), self._on_check
+        )
+
+    def _check_idle(self, age_s: float) -> None:
+        if age_s > self._limits.idle_timeout_s:
+            self.close()
+
+    def _check_head(self, age_s: float) -> None:
+        if age_s > self._limits.head_timeout_s:
+            self._refuse(408, _BAD_REQUEST)
+
+    def _check_body(self, age_s: float) -> None:
+        exchange = self._exchange
+        self._check_answer(age_s)
+        if exchange is None or self._phase is not Phase.BODY:
+            return
+        if self._reading_paused or exchange.awaits_continue:
+            self._restart_window()
+        elif age_s > self._limits.body_window_s:
+            if self._window_bytes < self._limits.body_window_bytes:
+                self._is_closing = True
+                exchange.fail_body(body.TOO_SLOW)
+            self._restart_window()
+
+    def _restart_window(self) -> None:
+        self._since_s = self._loop.time()
+        self._window_bytes = 0
+
+    def _check_answer(self, _: float) -> None:
+        if not self._paused:
+            return
+        stalled_s = self._loop.time() - self._paused_since_s
+        if stalled_s > self._limits.write_timeout_s:
+            logging.warning("gateway: Caller reads no answer; cut.")
+            self.cut()
+
+    def _check_linger(self, age_s: float) -> None:
+        if age_s > self._limits.linger_timeout_s:
+            self.close()
+
+    _checks: ClassVar[
+        dict[Phase, Callable[[CallerConnection, float], None]]
+    ] = {
+        Phase.IDLE: _check_idle,
+        Phase.HEAD: _check_head,
+        Phase.BODY: _check_body,
+        Phase.ANSWER: _check_answer,
+        Phase.LINGER: _check_linger,
+    }
+    """What is checked in each phase, given its age in seconds."""
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/head_rules.py
@@ -0,0 +1,104 @@
+"""Rules for a request head beyond those that the parser enforces."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import hdrs
+from aiohttp import http
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp import http_parser
+
+    from magnoliacrank.gateway import front_limits
+
+    Rule = Callable[
+        [http_parser.RawRequestMessage, front_limits.FrontLimits], bool
+    ]
+
+_VERSIONS = (http.HttpVersion11, http.HttpVersion10)
+_FIELD_OVERHEAD_BYTES = 4
+
+
+def _has_other_version(
+    message: http_parser.RawRequestMessage, _: front_limits.FrontLimits
+) -> bool:
+    return message.version not in _VERSIONS
+
+
+def _is_tunnel(
+    message: http_parser.RawRequestMessage, _: front_limits.FrontLimits
+) -> bool:
+    return message.method == hdrs.METH_CONNECT
+
+
+def _has_fragment(
+    message: http_parser.RawRequestMessage, _: front_limits.FrontLimits
+) -> bool:
+    return "#" in message.path
+
+
+def _has_old_chunking(
+    message: http_parser.RawRequestMessage, _: front_limits.FrontLimits
+) -> bool:
+    if hdrs.TRANSFER_ENCODING not in message.headers:
+        return False
+    return message.version != http.HttpVersion11
+
+
+def _has_other_coding(
+    message: http_parser.RawRequestMessage, _: front_limits.FrontLimits
+) -> bool:
+    coding = message.headers.get(hdrs.TRANSFER_ENCODING)
+    return coding is not None and coding.lower() != "chunked"
+
+
+def _has_other_expectation(
+    message: http_parser.RawRequestMessage, _: front_limits.FrontLimits
+) -> bool:
+    expected = message.headers.get(hdrs.EXPECT)
+    return expected is not None and expected.lower() != "100-continue"
+
+
+def _has_too_many_headers(
+    message: http_parser.RawRequestMessage, limits: front_limits.FrontLimits
+) -> bool:
+    return len(message.raw_headers) > limits.max_headers
+
+
+_RULES: tuple[tuple[Rule, int], ...] = (
+    (_has_other_version, 505),
+    (_is_tunnel, 501),
+    (_has_fragment, 400),
+    (_has_old_chunking, 400),
+    (_has_other_coding, 501),
+    (_has_other_expectation, 417),
+    (_has_too_many_headers, 431),
+)
+"""What is refused, with its status; the first that applies counts."""
+
+
+def refusal_status(
+    message: http_parser.RawRequestMessage, limits: front_limits.FrontLimits
+) -> int | None:
+    """Returns the status with which to refuse a head, or None.
+
+    Args:
+        message: The parsed head.
+        limits: Limits on callers' connections.
+    """
+    for applies, status in _RULES:
+        if applies(message, limits):
+            return status
+    return None
+
+
+def head_size(message: http_parser.RawRequestMessage) -> int:
+    """Returns the size of a parsed head in bytes, line ends included."""
+    fields = sum(
+        len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        for name, value in message.raw_headers
+    )
+    return fields + len(message.method) + len(message.path)
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/server_connection.py
@@ -0,0 +1,358 @@
+"""ServerConnection: one connection to a backend server."""
+
+from __future__ import annotations
+
+import enum
+import time
+from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import cast
+
+from aiohttp import base_protocol
+from aiohttp import hdrs
+from aiohttp import http_exceptions
+from aiohttp import http_parser
+
+from magnoliacrank.gateway import answer_framing
+from magnoliacrank.gateway import exchange_failure
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from aiohttp import streams
+
+FailureKind = exchange_failure.FailureKind
+
+_BUFFER_BYTES = 65536
+_MAX_LINE_BYTES = 8190
+_MAX_FIELD_BYTES = 32768
+_MAX_HEADERS = 256
+
+
+class State(enum.IntEnum):
+    """State of a connection to a backend server."""
+
+    IDLE = 0
+    """Open, and no request under way."""
+
+    WAITING = 1
+    """A request was sent; no head of an answer yet."""
+
+    ANSWERING = 2
+    """The head of the answer has come, its body is on the way."""
+
+    WHOLE = 3
+    """The answer is here as a whole and not yet released."""
+
+    CLOSED = 4
+    """Retired for good."""
+
+
+class Event(enum.IntEnum):
+    """What happens to a connection."""
+
+    SENT = 0
+    HEAD = 1
+    END = 2
+    RELEASED = 3
+    RETIRED = 4
+
+
+_NEXT: dict[tuple[State, Event], State] = {
+    (State.IDLE, Event.SENT): State.WAITING,
+    (State.WAITING, Event.HEAD): State.ANSWERING,
+    (State.ANSWERING, Event.END): State.WHOLE,
+    (State.WHOLE, Event.RELEASED): State.IDLE,
+    (State.IDLE, Event.RETIRED): State.CLOSED,
+    (State.WAITING, Event.RETIRED): State.CLOSED,
+    (State.ANSWERING, Event.RETIRED): State.CLOSED,
+    (State.WHOLE, Event.RETIRED): State.CLOSED,
+}
+"""The life cycle; a pair that is not listed can't happen."""
+
+
+class AnswerHead:
+    """A message of the parser with its body."""
+
+    __slots__ = ("message", "payload")
+
+    def __init__(
+        self,
+        message: http_parser.RawResponseMessage,
+        payload: streams.StreamReader,
+    ) -> None:
+        self.message = message
+        self.payload = payload
+
+
+class ConnectionOwner(Protocol):
+    """What a connection tells the pool that owns it."""
+
+    def on_retired(self, connection: ServerConnection) -> None:
+        """The connection is never used again."""
+
+    def on_idle(self, connection: ServerConnection) -> None:
+        """The connection can carry another request."""
+
+
+class ServerConnection(base_protocol.BaseProtocol):
+    """One connection to a backend server; carries one request at a time.
+
+    It is reused only after a whole answer whose bytes are all accounted for.
+    After a timeout, a cancel, a short or malformed answer or bytes that
+    nobody asked for it is closed, so a late answer meets no other request.
+    """
+
+    def __init__(
+        self, owner: ConnectionOwner, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        super().__init__(loop, None)
+        self._owner = owner
+        self._state = State.IDLE
+        self._waiter: asyncio.Future[
+            AnswerHead | exchange_failure.ExchangeFailure
+        ] = loop.create_future()
+        self._payload: streams.StreamReader | None = None
+        self._body_length: int | None = 0
+        self._account = answer_framing.ByteAccount()
+        self._is_head_request = False
+        self._is_last = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._exchanges = 0
+        self._is_suspected = False
+        self.opened_s = time.monotonic()
+        self.alive_s = self.opened_s
+        self.sent_s = 0.0
+        self._parser = self._new_parser(has_body=True)
+
+    @property
+    def state(self) -> State:
+        """State in the life cycle."""
+        return self._state
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a request can be sent now."""
+        transport = self.transport
+        return (
+            self._state is State.IDLE
+            and transport is not None
+            and not transport.is_closing()
+        )
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether it carries or awaits its first request."""
+        return self._exchanges <= 1
+
+    @property
+    def is_suspected(self) -> bool:
+        """Whether the pool holds it to be silent."""
+        return self._is_suspected
+
+    def suspect(self) -> None:
+        """Marks the connection as held to be silent."""
+        self._is_suspected = True
+
+    def send(
+        self,
+        data: bytes,
+        *,
+        is_head_request: bool,
+        timeout_s: float,
+    ) -> asyncio.Future[AnswerHead | exchange_failure.ExchangeFailure]:
+        """Sends the head of a request, with or without its body.
+
+        Args:
+            data: Bytes to write.
+            is_head_request: Whether the answer has no body in any case.
+            timeout_s: Time after which the exchange fails.
+
+        Returns:
+            A future of the answer's head or of the failure.
+        """
+        self._move(Event.SENT)
+        if is_head_request != self._is_head_request:
+            self._is_head_request = is_head_request
+            self._parser = self._new_parser(has_body=not is_head_request)
+        self._account = answer_framing.ByteAccount()
+        self._is_last = False
+        self._exchanges += 1
+        self._waiter = self._loop.create_future()
+        self.sent_s = time.monotonic()
+        self._timer = self._loop.call_later(timeout_s, self._on_timeout)
+        self.write(data)
+        return self._waiter
+
+    def write(self, data: bytes) -> None:
+        """Writes further bytes of the request."""
+        if self.transport is not None:
+            self.transport.write(data)
+
+    async def drained(self) -> None:
+        """Returns when more bytes may be written."""
+        if not self._paused:
+            return
+        try:
+            await self._drain_helper()
+        except ConnectionError:
+            return
+
+    def mark_last(self) -> None:
+        """Makes the connection close after the present answer."""
+        self._is_last = True
+
+    def release(self) -> None:
+        """Gives the connection back after a whole answer, else closes it."""
+        if self._state is not State.WHOLE or not self._is_reusable():
+            self.retire(FailureKind.TRUNCATED)
+            return
+        self._stop_timer()
+        self._payload = None
+        self._is_suspected = False
+        self._move(Event.RELEASED)
+        self._owner.on_idle(self)
+
+    def retire(self, kind: FailureKind) -> None:
+        """Closes the connection at once and for good.
+
+        Args:
+            kind: What a request under way is told.
+        """
+        if self._state is State.CLOSED:
+            return
+        state = self._state
+        self._move(Event.RETIRED)
+        self._stop_timer()
+        self._fail(state, kind)
+        if self.transport is not None:
+            self.transport.abort()
+        self._owner.on_retired(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """The connection closed."""
+        cut_short = self._state is State.ANSWERING
+        super().connection_lost(exc)
+        if self._state is State.WHOLE:
+            self._is_last = True
+            return
+        self.retire(
+            FailureKind.TRUNCATED if cut_short else FailureKind.CONNECTION_LOST
+        )
+
+    def resume_reading(
+        self,
+        resume_parser: bool = True,  # noqa: FBT001, FBT002
+    ) -> None:
+        """The reader of the answer has room again."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes arrived from the backend server."""
+        state = self._state
+        if state is State.CLOSED:
+            return
+        if state is State.IDLE:
+            self.retire(FailureKind.MALFORMED)
+            return
+        if state is State.WHOLE:
+            self._is_last = self._is_last or bool(data)
+            return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        parser = cast("http_parser.HttpResponseParser", self._parser)
+        if data:
+            self.alive_s = time.monotonic()
+            self._account.add(data)
+        try:
+            messages, _, _ = parser.feed_data(data)
+        except http_exceptions.HttpProcessingError:
+            self.retire(FailureKind.MALFORMED)
+            return
+        for message, payload in messages:
+            self._on_message(message, payload)
+        self._check_end()
+
+    def _on_message(
+        self,
+        message: http_parser.RawResponseMessage,
+        payload: streams.StreamReader,
+    ) -> None:
+        if self._state is not State.WAITING:
+            self._is_last = True
+            return
+        if answer_framing.is_interim(message):
+            self._account = answer_framing.ByteAccount()
+            self._is_last = True
+            return
+        if not answer_framing.is_sound(
+            message, is_head_request=self._is_head_request
+        ):
+            self.retire(FailureKind.MALFORMED)
+            return
+        self._is_last = self._is_last or message.should_close
+        self._payload = payload
+        self._body_length = self._length_of(message)
+        self._move(Event.HEAD)
+        if not self._waiter.done():
+            self._waiter.set_result(AnswerHead(message, payload))
+
+    def _check_end(self) -> None:
+        if self._state is not State.ANSWERING:
+            return
+        if self._payload is not None and self._payload.is_eof():
+            self._stop_timer()
+            self._move(Event.END)
+
+    def _length_of(self, message: http_parser.RawResponseMessage) -> int | None:
+        if not answer_framing.has_body(
+            message, is_head_request=self._is_head_request
+        ):
+            return 0
+        if message.chunked:
+            return None
+        return int(message.headers[hdrs.CONTENT_LENGTH])
+
+    def _is_reusable(self) -> bool:
+        return (
+            not self._is_last
+            and self.transport is not None
+            and not self.transport.is_closing()
+            and self._account.is_exact(self._body_length)
+        )
+
+    def _fail(self, state: State, kind: FailureKind) -> None:
+        failure = exchange_failure.ExchangeFailure(kind)
+        if state is State.WAITING and not self._waiter.done():
+            self._waiter.set_result(failure)
+        if state is State.ANSWERING and self._payload is not None:
+            self._payload.set_exception(
+                exchange_failure.ExchangeFailureError(failure)
+            )
+
+    def _on_timeout(self) -> None:
+        self._timer = None
+        self.retire(FailureKind.TIMEOUT)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _move(self, event: Event) -> None:
+        self._state = _NEXT[self._state, event]
+
+    def _new_parser(self, *, has_body: bool) -> http_parser.HttpResponseParser:
+        return http_parser.HttpResponseParser(
+            self,
+            self._loop,
+            _BUFFER_BYTES,
+            max_line_size=_MAX_LINE_BYTES,
+            max_headers=_MAX_HEADERS,
+            max_field_size=_MAX_FIELD_BYTES,
+            response_with_body=has_body,
+            read_until_eof=False,
+            auto_decompress=False,
+        )
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/server_pool.py
@@ -0,0 +1,309 @@
+"""ServerPool: all connections of this instance to one backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from absl import logging
+from aiohttp import hdrs
+
+from magnoliacrank.gateway import answer as answers
+from magnoliacrank.gateway import body_sender
+from magnoliacrank.gateway import exchange_failure
+from magnoliacrank.gateway import pool_events
+from magnoliacrank.gateway import server_connection
+from magnoliacrank.gateway import silence
+from magnoliacrank.gateway import socket_options
+from magnoliacrank.model import headers as header_names
+
+if TYPE_CHECKING:
+    from magnoliacrank.gateway import body as bodies
+    from magnoliacrank.gateway import outbound_head
+    from magnoliacrank.gateway import pool_limits
+
+FailureKind = exchange_failure.FailureKind
+ExchangeFailure = exchange_failure.ExchangeFailure
+
+_NOT_RUN_VALUE = "1"
+_MIN_REFUSAL_STATUS = 400
+
+
+class ServerPool:
+    """All connections of this instance to one backend server.
+
+    A request that finds no connection is refused at once as not run; waiting
+    for a free slot is for the caller of the pool.
+
+    Args:
+        host: IP address of the backend server.
+        port: TCP port of the backend server.
+        limits: Bounds and times.
+        listener: Who is told of silent connections.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        limits: pool_limits.PoolLimits,
+        listener: pool_events.PoolListener | None = None,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._limits = limits
+        self._listener = listener or pool_events.NullListener()
+        self._idle: list[server_connection.ServerConnection] = []
+        self._busy: set[server_connection.ServerConnection] = set()
+        self._opening = 0
+        self._is_open = False
+        self._silence = silence.SilenceWatch(self, limits, self._listener)
+
+    @property
+    def host(self) -> str:
+        """IP address of the backend server."""
+        return self._host
+
+    @property
+    def port(self) -> int:
+        """TCP port of the backend server."""
+        return self._port
+
+    @property
+    def authority(self) -> str:
+        """Host and port as in a Host header."""
+        return f"{self._host}:{self._port}"
+
+    @property
+    def idle_count(self) -> int:
+        """Connections that wait for a request."""
+        return len(self._idle)
+
+    @property
+    def busy_count(self) -> int:
+        """Connections with a request under way."""
+        return len(self._busy)
+
+    @property
+    def open_count(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._idle) + len(self._busy) + self._opening
+
+    @property
+    def busy(self) -> set[server_connection.ServerConnection]:
+        """Connections with a request under way."""
+        return self._busy
+
+    async def start(self) -> None:
+        """Allows requests; connections open on demand."""
+        self._is_open = True
+
+    async def close(self) -> None:
+        """Closes all connections; requests under way fail."""
+        self._is_open = False
+        await self._silence.close()
+        for connection in [*self._idle, *self._busy]:
+            connection.retire(FailureKind.CONNECTION_LOST)
+        await asyncio.sleep(0)
+
+    async def warm(self, count: int) -> int:
+        """Opens connections in advance.
+
+        Args:
+            count: Number of connections that are to be open.
+
+        Returns:
+            The number that are open.
+        """
+        missing = min(count, self._limits.max_connections) - self.open_count
+        timeout_s = self._limits.connect_timeout_s
+        opened = await asyncio.gather(
+            *(self._open(timeout_s) for _ in range(missing))
+        )
+        for connection in opened:
+            if not isinstance(connection, ExchangeFailure):
+                self._busy.discard(connection)
+                self._idle.append(connection)
+        return self.open_count
+
+    async def exchange(
+        self,
+        head: outbound_head.OutboundHead,
+        body: bodies.BodySource | bytes,
+        deadline_s: float,
+        *,
+        needs_fresh: bool = False,
+    ) -> answers.Answer | ExchangeFailure:
+        """Sends a request and waits for the head of its answer.
+
+        Args:
+            head: Method, target and headers.
+            body: The body, or where to read it from.
+            deadline_s: Monotonic time until which the answer has to be whole.
+            needs_fresh: Whether only a connection will do that was shown
+                alive within the stated time or is newly opened.
+
+        Returns:
+            The answer, to be released, or why there is none.
+        """
+        timeout_s = deadline_s - time.monotonic()
+        connection = self._take_idle(needs_fresh=needs_fresh)
+        if connection is None:
+            opened = await self._open_within_limit(timeout_s)
+            if isinstance(opened, ExchangeFailure):
+                return opened
+            connection = opened
+            timeout_s = deadline_s - time.monotonic()
+        if timeout_s <= 0:
+            self._give_back(connection)
+            return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
+        return await self._run(connection, head, body, timeout_s)
+
+    async def open_extra(
+        self, timeout_s: float
+    ) -> server_connection.ServerConnection | ExchangeFailure:
+        """Opens a connection beyond the idle ones, for a probe.
+
+        Args:
+            timeout_s: Longest time to open it.
+        """
+        return await self._open_within_limit(timeout_s)
+
+    def retire_idle_before(self, alive_s: float) -> int:
+        """Closes idle connections not shown alive since a time.
+
+        Args:
+            alive_s: Monotonic time in seconds.
+
+        Returns:
+            How many were closed.
+        """
+        old = [item for item in self._idle if item.alive_s <= alive_s]
+        for connection in old:
+            connection.retire(FailureKind.CONNECTION_LOST)
+        return len(old)
+
+    def on_retired(
+        self, connection: server_connection.ServerConnection
+    ) -> None:
+        """A connection is never used again."""
+        self._busy.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def on_idle(self, connection: server_connection.ServerConnection) -> None:
+        """A connection can carry another request."""
+        self._busy.discard(connection)
+        self._idle.append(connection)
+
+    async def _run(
+        self,
+        connection: server_connection.ServerConnection,
+        head: outbound_head.OutboundHead,
+        body: bodies.BodySource | bytes,
+        timeout_s: float,
+    ) -> answers.Answer | ExchangeFailure:
+        if isinstance(body, bytes):
+            data = head.encode(len(body)) + body
+        else:
+            data = head.encode(body.body_length)
+        waiter = connection.send(
+            data,
+            is_head_request=head.method == hdrs.METH_HEAD,
+            timeout_s=timeout_s,
+        )
+        self._silence.on_sent(connection)
+        sender = None
+        if not isinstance(body, bytes) and body.body_length != 0:
+            sender = asyncio.ensure_future(body_sender.send(connection, body))
+        try:
+            outcome = await waiter
+        except asyncio.CancelledError:
+            connection.retire(FailureKind.CONNECTION_LOST)
+            raise
+        finally:
+            if sender is not None and not sender.done():
+                sender.cancel()
+                connection.mark_last()
+        if isinstance(outcome, ExchangeFailure):
+            return outcome
+        self._silence.on_answered(connection)
+        return self._checked(answers.Answer(connection, outcome))
+
+    def _checked(
+        self, answer: answers.Answer
+    ) -> answers.Answer | ExchangeFailure:
+        """Turns a refusal that ran nothing into a failure."""
+        if answer.status < _MIN_REFUSAL_STATUS:
+            return answer
+        if answer.headers.get(header_names.NOT_RUN) != _NOT_RUN_VALUE:
+            return answer
+        answer.release()
+        return ExchangeFailure(FailureKind.REFUSED, answer.headers)
+
+    def _take_idle(
+        self, *, needs_fresh: bool
+    ) -> server_connection.ServerConnection | None:
+        now_s = time.monotonic()
+        limits = self._limits
+        age_s = limits.alive_within_s if needs_fresh else limits.idle_timeout_s
+        while self._idle:
+            connection = self._idle[-1]
+            if not connection.is_usable:
+                connection.retire(FailureKind.CONNECTION_LOST)
+            elif now_s - connection.alive_s <= age_s:
+                self._idle.pop()
+                self._busy.add(connection)
+                return connection
+            else:
+                break
+        return None
+
+    def _give_back(
+        self, connection: server_connection.ServerConnection
+    ) -> None:
+        self._busy.discard(connection)
+        self._idle.append(connection)
+
+    async def _open_within_limit(
+        self, timeout_s: float
+    ) -> server_connection.ServerConnection | ExchangeFailure:
+        if not self._is_open:
+            return ExchangeFailure(FailureKind.POOL_CLOSED)
+        if self.open_count >= self._limits.max_connections:
+            if not self._idle:
+                return ExchangeFailure(FailureKind.POOL_EXHAUSTED)
+            self._idle[0].retire(FailureKind.CONNECTION_LOST)
+        return await self._open(timeout_s)
+
+    async def _open(
+        self, timeout_s: float
+    ) -> server_connection.ServerConnection | ExchangeFailure:
+        loop = asyncio.get_running_loop()
+        limit_s = min(timeout_s, self._limits.connect_timeout_s)
+        if limit_s <= 0:
+            return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
+        self._opening += 1
+        try:
+            async with asyncio.timeout(limit_s):
+                transport, connection = await loop.create_connection(
+                    lambda: server_connection.ServerConnection(self, loop),
+                    self._host,
+                    self._port,
+                )
+        except TimeoutError:
+            return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
+        except OSError as error:
+            logging.warning(
+                "gateway: No connection to %s: %s.", self.authority, error
+            )
+            return ExchangeFailure(FailureKind.CONNECT_FAILED)
+        finally:
+            self._opening -= 1
+        socket_options.notice_lost_peer(transport)
+        if not self._is_open:
+            connection.retire(FailureKind.CONNECTION_LOST)
+            return ExchangeFailure(FailureKind.POOL_CLOSED)
+        self._busy.add(connection)
+        return connection
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/silence.py
@@ -0,0 +1,192 @@
+"""SilenceWatch: tells silent connections from slow backend servers.
+
+A request without an answer after a multiple of the usual time leaves two
+explanations. If a connection that was opened after the request was sent is
+answered meanwhile, the server works and the old connection is held to be
+silent: idle connections that were not shown alive since then are closed. The
+request itself waits on, since the server may only be slow with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from absl import logging
+
+from magnoliacrank.gateway import exchange_failure
+from magnoliacrank.gateway import outbound_head
+from magnoliacrank.gateway import pool_events
+from magnoliacrank.gateway import server_connection
+
+if TYPE_CHECKING:
+    from magnoliacrank.gateway import pool_limits
+
+FailureKind = exchange_failure.FailureKind
+
+_SMOOTHING = 0.1
+
+
+class WatchedPool(Protocol):
+    """What the watch needs of a pool."""
+
+    @property
+    def host(self) -> str:
+        """IP address of the backend server."""
+
+    @property
+    def port(self) -> int:
+        """TCP port of the backend server."""
+
+    @property
+    def authority(self) -> str:
+        """Host and port as in a Host header."""
+
+    @property
+    def busy(self) -> set[server_connection.ServerConnection]:
+        """Connections with a request under way."""
+
+    async def open_extra(
+        self, timeout_s: float
+    ) -> server_connection.ServerConnection | exchange_failure.ExchangeFailure:
+        """Opens a connection for a probe."""
+
+    def retire_idle_before(self, alive_s: float) -> int:
+        """Closes idle connections not shown alive since a time."""
+
+
+class SilenceWatch:
+    """Looks for silent connections of one pool.
+
+    Args:
+        pool: The pool.
+        limits: Bounds and times.
+        listener: Who is told, and asked before a probe.
+    """
+
+    def __init__(
+        self,
+        pool: WatchedPool,
+        limits: pool_limits.PoolLimits,
+        listener: pool_events.PoolListener,
+    ) -> None:
+        self._pool = pool
+        self._limits = limits
+        self._listener = listener
+        self._usual_s = 0.0
+        self._latest_opened_s = 0.0
+        self._next_probe_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._probe: asyncio.Task[None] | None = None
+
+    @property
+    def threshold_s(self) -> float:
+        """Time without an answer after which silence is looked into."""
+        usual_s = self._usual_s * self._limits.silence_factor
+        return max(self._limits.silence_s, usual_s)
+
+    async def close(self) -> None:
+        """Stops the watch."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._probe is not None:
+            self._probe.cancel()
+            await asyncio.gather(self._probe, return_exceptions=True)
+
+    def on_sent(self, connection: server_connection.ServerConnection) -> None:
+        """A request was sent."""
+        if self._timer is None and not connection.is_fresh:
+            self._arm()
+
+    def on_answered(
+        self, connection: server_connection.ServerConnection
+    ) -> None:
+        """An answer's head arrived."""
+        took_s = connection.alive_s - connection.sent_s
+        self._usual_s += _SMOOTHING * (took_s - self._usual_s)
+        if connection.opened_s > self._latest_opened_s:
+            self._latest_opened_s = connection.opened_s
+
+    def _arm(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self.threshold_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        waiting = [item for item in self._pool.busy if _is_waiting(item)]
+        if not waiting:
+            return
+        self._arm()
+        latest_s = time.monotonic() - self.threshold_s
+        late = [item for item in waiting if item.sent_s < latest_s]
+        self._judge(late)
+        if any(not item.is_suspected for item in late):
+            self._start_probe()
+
+    def _judge(self, late: list[server_connection.ServerConnection]) -> None:
+        for connection in late:
+            if connection.sent_s < self._latest_opened_s:
+                self._on_silent(connection)
+
+    def _on_silent(
+        self, connection: server_connection.ServerConnection
+    ) -> None:
+        connection.suspect()
+        pool = self._pool
+        retired = pool.retire_idle_before(connection.sent_s)
+        silent_s = time.monotonic() - connection.sent_s
+        logging.warning(
+            "gateway: Connection to %s silent for %.3f s; retired %d idle.",
+            pool.authority,
+            silent_s,
+            retired,
+        )
+        self._listener.on_silent(
+            pool_events.ConnectionSilent(
+                pool.host, pool.port, silent_s, retired
+            )
+        )
+
+    def _start_probe(self) -> None:
+        now_s = time.monotonic()
+        is_running = self._probe is not None and not self._probe.done()
+        if is_running or now_s < self._next_probe_s:
+            return
+        if not self._listener.may_probe():
+            return
+        self._next_probe_s = now_s + self._limits.probe_interval_s
+        self._probe = asyncio.ensure_future(self._run_probe())
+
+    async def _run_probe(self) -> None:
+        limits = self._limits
+        connection = await self._pool.open_extra(limits.probe_timeout_s)
+        if isinstance(connection, exchange_failure.ExchangeFailure):
+            return
+        head = outbound_head.OutboundHead(
+            "GET", limits.probe_target, [("Host", self._pool.authority)]
+        )
+        try:
+            outcome = await connection.send(
+                head.encode(0),
+                is_head_request=False,
+                timeout_s=limits.probe_timeout_s,
+            )
+        except asyncio.CancelledError:
+            connection.retire(FailureKind.CONNECTION_LOST)
+            raise
+        if isinstance(outcome, exchange_failure.ExchangeFailure):
+            return
+        self._latest_opened_s = max(self._latest_opened_s, connection.opened_s)
+        await asyncio.sleep(0)
+        connection.release()
+
+
+def _is_waiting(connection: server_connection.ServerConnection) -> bool:
+    return (
+        connection.state is server_connection.State.WAITING
+        and not connection.is_fresh
+        and not connection.is_suspected
+    )
