--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-import pytest
-import uvloop
-
 from magnoliacrank.gateway import event_loop
 
 
-@pytest.fixture(scope="session")
-def event_loop_policy():
-    event_loop.disable_io_uring()
-    return uvloop.EventLoopPolicy()
+def pytest_asyncio_loop_factories(config, item):
+    return {"uvloop": event_loop.new_event_loop}
