--- a/packages/policy/src/magnoliacrank/policy/former_crew.py
+++ b/packages/policy/src/magnoliacrank/policy/former_crew.py
@@ -2,33 +2,14 @@
 
 from __future__ import annotations
 
-from magnoliacrank.model import crew as crew_model
-from magnoliacrank.model import ids
-from magnoliacrank.policy import crew_trust
-from magnoliacrank.policy import slot_messages
-
-
-def owners_of(
-    crew: crew_model.Crew,
-) -> dict[ids.InstanceId, slot_messages.Owner]:
-    """Returns the members of a crew by name, as owners."""
-    return {
-        member.instance_id: slot_messages.Owner(
-            member.instance_id, member.incarnation
-        )
-        for member in crew.members
-    }
+from typing import TYPE_CHECKING
 
+from magnoliacrank.policy import crew_trust
 
-def share_of(
-    crew: crew_model.Crew,
-    owner: slot_messages.Owner,
-    server_id: ids.ServerId,
-) -> int:
-    """Returns how many slots of a backend server a life owns."""
-    if owners_of(crew).get(owner.instance_id) != owner:
-        return 0
-    return crew.shares.get(server_id, {}).get(owner.instance_id, 0)
+if TYPE_CHECKING:
+    from magnoliacrank.model import ids
+    from magnoliacrank.policy import crew_shares
+    from magnoliacrank.policy import slot_messages
 
 
 class FormerCrew:
@@ -40,43 +21,43 @@
     the rest can't confirm the older one to each other.
     """
 
-    def __init__(self, crew: crew_model.Crew) -> None:
+    def __init__(self, shares: crew_shares.CrewShares) -> None:
         """Starts with no member known to know a newer record.
 
         Args:
-            crew: The older record.
+            shares: The older record.
         """
-        self._crew = crew
-        self._unaware = set(owners_of(crew).values())
-        self._quorum = crew_trust.quorum(len(self._unaware))
-        self._over_quorum_s: float | None = None
-        self._successor = ids.LogOffset(-1)
+        self._shares = shares
+        self._unaware = set(shares.members)
+        self._quorum = crew_trust.quorum(len(shares.members))
+        self._newer_s: float | None = None
+        self._successor: ids.LogOffset | None = None
         self._unsettled: dict[ids.ServerId, set[slot_messages.Owner]] = {}
 
     @property
     def number(self) -> ids.LogOffset:
         """Number of the older record."""
-        return self._crew.number
+        return self._shares.number
 
     @property
     def awaited(self) -> set[slot_messages.Owner]:
         """Members whose answer would bring the end nearer."""
-        unsettled = set[slot_messages.Owner]().union(*self._unsettled.values())
-        if self._over_quorum_s is not None:
-            return unsettled
-        return unsettled | self._unaware
+        awaited: set[slot_messages.Owner] = set()
+        awaited.update(*self._unsettled.values())
+        if self._newer_s is None:
+            awaited |= self._unaware
+        return awaited
 
-    def succeed(self, successor: crew_model.Crew) -> None:
+    def succeed(self, successor: crew_shares.CrewShares) -> None:
         """Works out whose share fell under a newer record."""
         self._successor = successor.number
         self._unsettled = {}
-        owners = owners_of(self._crew)
-        for server_id, shares in self._crew.shares.items():
+        for server_id in self._shares.servers:
             losers = {
-                owners[name]
-                for name, count in shares.items()
-                if name in owners
-                and count > share_of(successor, owners[name], server_id)
+                owner
+                for owner in self._shares.owners(server_id)
+                if self._shares.share(owner, server_id)
+                > successor.share(owner, server_id)
             }
             if losers:
                 self._unsettled[server_id] = losers
@@ -84,12 +65,12 @@
     def note_aware(self, owner: slot_messages.Owner, now_s: float) -> None:
         """Notes that a member knows a newer record."""
         self._unaware.discard(owner)
-        if self._over_quorum_s is None and len(self._unaware) < self._quorum:
-            self._over_quorum_s = now_s
+        if self._newer_s is None and len(self._unaware) < self._quorum:
+            self._newer_s = now_s
 
     def note_settled(self, state: slot_messages.CrewState) -> None:
         """Notes where a member occupies no more than its newer share."""
-        if state.crew_number < self._successor:
+        if self._successor is None or state.crew_number < self._successor:
             return
         over = set(state.over_share)
         for server_id in list(self._unsettled):
@@ -109,9 +90,9 @@
         """
         if not self._unsettled:
             return True
-        if self._over_quorum_s is None:
+        if self._newer_s is None:
             return False
-        return now_s >= self._over_quorum_s + wait_s
+        return now_s >= self._newer_s + wait_s
 
     def share_limit(
         self, owner: slot_messages.Owner, server_id: ids.ServerId
@@ -119,4 +100,4 @@
         """Returns the share that an owner must keep to, or None for any."""
         if server_id not in self._unsettled:
             return None
-        return share_of(self._crew, owner, server_id)
+        return self._shares.share(owner, server_id)
--- a/packages/policy/src/magnoliacrank/policy/key_table.py
+++ b/packages/policy/src/magnoliacrank/policy/key_table.py
@@ -10,12 +10,16 @@
 
 import collections
 import enum
+from typing import TYPE_CHECKING
 
 import attrs
 
 from magnoliacrank.model import verdict
 from magnoliacrank.policy import key_entry
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 _MAX_ANSWER_BYTES = 64 * 1024
 
 
@@ -179,6 +183,14 @@
             return None
         return _describe(key, entry)
 
+    def entries(
+        self, now_s: float
+    ) -> Iterator[tuple[key_entry.ScopedKey, key_entry.KeyEntry, float]]:
+        """Yields each key, its state and the seconds that it is kept."""
+        for first_seen_s, key in self._order:
+            left_s = first_seen_s + self._mint_s + self._horizon_s - now_s
+            yield key, self._entries[key], left_s
+
     def close(self) -> None:
         """Refuses new keys from now on; those in progress may finish."""
         self._state = TableState.CLOSED
--- a/packages/policy/src/magnoliacrank/policy/slot_ledger.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_ledger.py
@@ -13,50 +13,24 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import TYPE_CHECKING
 
-import attrs
-import xxhash
-
-from magnoliacrank.model import crew as crew_model
-from magnoliacrank.model import ids
-from magnoliacrank.policy import crew_trust
-from magnoliacrank.policy import former_crew
+from magnoliacrank.policy import crew_view
 from magnoliacrank.policy import slot_account
+from magnoliacrank.policy import slot_borrower
 from magnoliacrank.policy import slot_hold
+from magnoliacrank.policy import slot_lender
 from magnoliacrank.policy import slot_messages
+from magnoliacrank.policy import slot_timing
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-    from collections.abc import Mapping
-
-
-@attrs.frozen
-class SlotTiming:
-    """Times that all members of a crew share."""
-
-    silence_s: float = 3.0
-    """Seconds that a confirmation of the crew record lasts."""
-
-    loan_s: float = 1.5
-    """Seconds from the asking during which a borrower may dispatch."""
+    from collections.abc import Callable
+    from collections.abc import Sequence
 
-    longest_work_s: float = 30.0
-    """Longest time that a dispatched request occupies a backend server."""
+    from magnoliacrank.model import crew as crew_model
+    from magnoliacrank.model import ids
 
-    margin_s: float = 0.2
-    """Seconds added to waits for the drift between clocks."""
-
-    check_interval_s: float = 0.5
-    """Seconds between checks of the crew record with its members."""
-
-    @property
-    def takeover_s(self) -> float:
-        """Seconds from the last confirmation to the end of all work."""
-        return (
-            self.silence_s + self.loan_s + self.longest_work_s + self.margin_s
-        )
+_Outgoing = list[slot_messages.Outgoing]
 
 
 class SlotLedger:
@@ -66,7 +40,7 @@
         self,
         own: ids.InstanceId,
         incarnation: ids.Incarnation,
-        timing: SlotTiming | None = None,
+        timing: slot_timing.SlotTiming | None = None,
     ) -> None:
         """Starts without a crew, so without slots.
 
@@ -76,27 +50,30 @@
             timing: Times that all members share.
         """
         self._own = slot_messages.Owner(own, incarnation)
-        self._timing = timing or SlotTiming()
-        self._trust = crew_trust.CrewTrust(self._own, self._timing.silence_s)
-        self._crew: crew_model.Crew | None = None
-        self._formers: list[former_crew.FormerCrew] = []
-        self._blind_until_s: float | None = None
+        self._timing = timing or slot_timing.SlotTiming()
+        self._view = crew_view.CrewView(self._own, self._timing)
         self._accounts: dict[ids.ServerId, slot_account.SlotAccount] = {}
-        self._check_ids = itertools.count(1)
-        self._checks_s: dict[int, float] = {}
-        self._next_check_s = float("-inf")
+        self._lender = slot_lender.SlotLender(own, self._timing, self._accounts)
+        self._borrower = slot_borrower.SlotBorrower(
+            self._own, self._timing, self._accounts
+        )
+        self._handlers: dict[type, Callable[..., _Outgoing]] = {
+            slot_messages.LoanRequest: self.on_loan_request,
+            slot_messages.LoanGrant: self.on_loan_grant,
+            slot_messages.LoanReturn: self.on_loan_return,
+            slot_messages.CrewCheck: self.on_crew_check,
+            slot_messages.CrewState: self.on_crew_state,
+        }
 
     @property
     def crew_number(self) -> ids.LogOffset:
         """Number of the newest crew record known, or -1."""
-        if self._crew is None:
-            return ids.LogOffset(-1)
-        return self._crew.number
+        return self._view.number
 
     @property
     def confirmed_until_s(self) -> float:
         """Monotonic time in seconds until which own slots are usable."""
-        return self._trust.until_s
+        return self._view.trust.until_s
 
     def set_crew(
         self,
@@ -113,19 +90,8 @@
             is_contiguous: Whether the record before it was given too, or
                 there is none. Otherwise unknown owners are waited out.
         """
-        if crew.number <= self.crew_number:
-            return
-        if not is_contiguous:
-            self._blind_until_s = now_s + self._timing.takeover_s
-        elif self._crew is not None:
-            former = former_crew.FormerCrew(self._crew)
-            former.note_aware(self._own, now_s)
-            self._formers.append(former)
-        self._crew = crew
-        for former in self._formers:
-            former.succeed(crew)
-        self._trust.set_members(former_crew.owners_of(crew).values())
-        self._update_shares(now_s)
+        if self._view.set_crew(crew, now_s, is_contiguous=is_contiguous):
+            self._update_shares(now_s)
 
     def set_limit(
         self,
@@ -155,14 +121,16 @@
         Args:
             asked_s: Monotonic time in seconds at which the read was sent.
         """
-        self._trust.heard_log(asked_s)
+        self._view.trust.heard_log(asked_s)
 
     def free(self, server_id: ids.ServerId, now_s: float) -> int:
         """Returns how many requests a backend server can be given now."""
         account = self._accounts.get(server_id)
         if account is None:
             return 0
-        return account.free(now_s, is_confirmed=now_s < self._trust.until_s)
+        return account.free(
+            now_s, is_confirmed=now_s < self._view.trust.until_s
+        )
 
     def take(
         self, server_id: ids.ServerId, now_s: float
@@ -179,13 +147,14 @@
         account = self._accounts.get(server_id)
         if account is None:
             return slot_hold.NoSlot(slot_hold.NoSlotReason.NOT_A_MEMBER)
-        is_confirmed = now_s < self._trust.until_s
+        is_confirmed = self._is_confirmed(now_s)
         hold = account.take(server_id, now_s, is_confirmed=is_confirmed)
-        if hold is None:
-            return slot_hold.NoSlot(
-                self._why_not(account, is_confirmed=is_confirmed)
-            )
-        return hold
+        if hold is not None:
+            return hold
+        reason = self._why_not(account, is_confirmed=is_confirmed)
+        if reason is slot_hold.NoSlotReason.BUSY:
+            self._lender.note_short(now_s)
+        return slot_hold.NoSlot(reason)
 
     def release(self, hold: slot_hold.SlotHold, now_s: float) -> None:
         """Frees a slot once its work has ended; a repeat does nothing."""
@@ -217,44 +186,104 @@
         Returns:
             Messages to send.
         """
-        if self._blind_until_s is not None and now_s >= self._blind_until_s:
-            self._blind_until_s = None
+        if self._view.end_old(now_s):
             self._update_shares(now_s)
-        self._drop_formers(now_s)
-        return self._checks(now_s)
+        shares = self._view.shares
+        if shares is None:
+            return []
+        returns = self._borrower.tick(shares.service, now_s)
+        return [*returns, *self._view.checks(now_s)]
+
+    def ask_loans(
+        self, wanted: Sequence[slot_messages.SlotCount], now_s: float
+    ) -> list[slot_messages.Outgoing]:
+        """Asks a member for slots; call it when requests wait.
+
+        Args:
+            wanted: Most slots to borrow, by backend server.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Messages to send; none when it was asked just now.
+        """
+        shares = self._view.shares
+        if shares is None or not self._view.is_member:
+            return []
+        useful = tuple(
+            slots for slots in wanted if self._can_borrow(slots.server_id)
+        )
+        lenders = {
+            owner.instance_id
+            for slots in useful
+            for owner in shares.owners(slots.server_id)
+        }
+        lenders.discard(self._own.instance_id)
+        return self._borrower.ask(
+            shares.service, sorted(lenders), useful, now_s
+        )
+
+    def on_message(
+        self, message: slot_messages.Message, now_s: float
+    ) -> list[slot_messages.Outgoing]:
+        """Takes in a message from another member.
+
+        Args:
+            message: The message.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Messages to send.
+        """
+        return self._handlers[type(message)](message, now_s)
+
+    def on_loan_request(
+        self, message: slot_messages.LoanRequest, now_s: float
+    ) -> list[slot_messages.Outgoing]:
+        """Answers a request for a loan while the record is confirmed."""
+        shares = self._view.shares
+        if shares is None or not self._is_confirmed(now_s):
+            return []
+        return [self._lender.on_loan_request(message, shares, now_s)]
+
+    def on_loan_grant(
+        self, message: slot_messages.LoanGrant, now_s: float
+    ) -> list[slot_messages.Outgoing]:
+        """Takes in a loan."""
+        return self._borrower.on_loan_grant(message, now_s)
+
+    def on_loan_return(
+        self, message: slot_messages.LoanReturn, now_s: float
+    ) -> list[slot_messages.Outgoing]:
+        """Takes back lent slots."""
+        del now_s
+        self._lender.on_loan_return(message)
+        return []
 
     def on_crew_check(
         self, message: slot_messages.CrewCheck, now_s: float
     ) -> list[slot_messages.Outgoing]:
         """Answers a check of the crew record."""
-        self._note_aware(message.sender, message.crew_number, now_s)
         over_share = tuple(
             server_id
             for server_id, account in self._accounts.items()
             if account.is_over_share
         )
-        state = slot_messages.CrewState(
-            message.service,
-            self._own,
-            message.check_id,
-            self.crew_number,
-            over_share,
-        )
-        return [slot_messages.Outgoing(message.sender.instance_id, state)]
+        return [self._view.on_crew_check(message, over_share, now_s)]
 
     def on_crew_state(
         self, message: slot_messages.CrewState, now_s: float
     ) -> list[slot_messages.Outgoing]:
         """Takes in the answer to a check."""
-        asked_s = self._checks_s.get(message.check_id)
-        if asked_s is not None and message.crew_number <= self.crew_number:
-            self._trust.heard_member(message.sender, asked_s)
-        self._note_aware(message.sender, message.crew_number, now_s)
-        for former in self._formers:
-            former.note_settled(message)
-        self._drop_formers(now_s)
+        self._view.on_crew_state(message, now_s)
+        # A settled owner may free part of the shares at once.
+        self._view.end_old(now_s)
+        self._update_shares(now_s)
         return []
 
+    def _is_confirmed(self, now_s: float) -> bool:
+        """Returns whether the newest record was confirmed lately."""
+        return now_s < self._view.trust.until_s
+
     def _account(self, server_id: ids.ServerId) -> slot_account.SlotAccount:
         """Returns the account of a backend server, a new one if need be."""
         account = self._accounts.get(server_id)
@@ -268,7 +297,7 @@
     ) -> slot_hold.NoSlotReason:
         """Returns why an account has no free slot."""
         reasons = (
-            (not self._is_member(), slot_hold.NoSlotReason.NOT_A_MEMBER),
+            (not self._view.is_member, slot_hold.NoSlotReason.NOT_A_MEMBER),
             (
                 account.is_cold and not account.is_steward,
                 slot_hold.NoSlotReason.COLD,
@@ -281,24 +310,22 @@
                 return reason
         return slot_hold.NoSlotReason.BUSY
 
-    def _is_member(self) -> bool:
-        """Returns whether this life is in the newest crew record."""
-        return self._own in self._members()
-
-    def _members(self) -> Iterable[slot_messages.Owner]:
-        """Returns the members of the newest crew record."""
-        if self._crew is None:
-            return ()
-        return former_crew.owners_of(self._crew).values()
+    def _can_borrow(self, server_id: ids.ServerId) -> bool:
+        """Returns whether this member could use more slots of a server."""
+        account = self._accounts.get(server_id)
+        if account is None:
+            return False
+        return account.is_steward or not account.is_cold
 
     def _update_shares(self, now_s: float) -> None:
         """Works out all shares anew."""
-        if self._crew is None:
+        shares = self._view.shares
+        if shares is None:
             return
-        for server_id in self._crew.shares:
+        for server_id in shares.servers:
             self._account(server_id)
         for server_id, account in list(self._accounts.items()):
-            if server_id not in self._crew.shares and account.is_idle:
+            if server_id not in shares.servers and account.is_idle:
                 del self._accounts[server_id]
                 continue
             self._update_share(server_id, account, now_s)
@@ -310,107 +337,12 @@
         now_s: float,
     ) -> None:
         """Works out the share of one backend server anew."""
-        if self._crew is None:
+        shares = self._view.shares
+        if shares is None:
             return
-        shares = self._crew.shares.get(server_id, {})
-        owners = former_crew.owners_of(self._crew)
-        names = sorted(name for name in shares if name in owners)
-        parts = slot_account.apportion(
-            account.limit, [shares[name] for name in names]
-        )
-        is_member = owners.get(self._own.instance_id) == self._own
-        own_name = self._own.instance_id
-        portion = dict(zip(names, parts, strict=True)).get(own_name, 0)
-        record = shares.get(own_name, 0) if is_member else 0
         account.set_share(
-            record=record,
-            usable=self._usable_share(server_id, record, now_s),
-            portion=portion,
-            is_steward=is_member and own_name == _steward(server_id, shares),
+            record=shares.share(self._own, server_id),
+            usable=self._view.usable_share(server_id, now_s),
+            portion=shares.portion(self._own, server_id, account.limit),
+            is_steward=shares.steward(server_id) == self._own,
         )
-
-    def _usable_share(
-        self, server_id: ids.ServerId, record: int, now_s: float
-    ) -> int:
-        """Returns the slots that no former owner can use."""
-        if self._blind_until_s is not None and now_s < self._blind_until_s:
-            return 0
-        limits = [
-            former.share_limit(self._own, server_id) for former in self._formers
-        ]
-        return min([record, *(limit for limit in limits if limit is not None)])
-
-    def _note_aware(
-        self,
-        sender: slot_messages.Owner,
-        crew_number: ids.LogOffset,
-        now_s: float,
-    ) -> None:
-        """Notes which record a member knows."""
-        for former in self._formers:
-            if crew_number > former.number:
-                former.note_aware(sender, now_s)
-
-    def _drop_formers(self, now_s: float) -> None:
-        """Forgets older records that are over."""
-        if not self._formers:
-            return
-        wait_s = self._timing.takeover_s
-        self._formers = [
-            former
-            for former in self._formers
-            if not former.is_over(now_s, wait_s)
-        ]
-        self._update_shares(now_s)
-
-    def _checks(self, now_s: float) -> list[slot_messages.Outgoing]:
-        """Returns checks to send to those whose answer is wanted."""
-        if now_s < self._next_check_s or self._crew is None:
-            return []
-        targets = self._check_targets(now_s)
-        if not targets:
-            return []
-        self._next_check_s = now_s + self._timing.check_interval_s
-        check = slot_messages.CrewCheck(
-            self._crew.service,
-            self._own,
-            next(self._check_ids),
-            self._crew.number,
-        )
-        self._checks_s[check.check_id] = now_s
-        oldest_s = now_s - self._timing.silence_s
-        self._checks_s = {
-            check_id: asked_s
-            for check_id, asked_s in self._checks_s.items()
-            if asked_s >= oldest_s
-        }
-        return [slot_messages.Outgoing(name, check) for name in targets]
-
-    def _check_targets(self, now_s: float) -> list[ids.InstanceId]:
-        """Returns whom to ask: unsettled owners, all if trust runs out."""
-        targets = {
-            owner.instance_id
-            for former in self._formers
-            for owner in former.awaited
-        }
-        left_s = self._trust.until_s - now_s
-        if self._is_member() and left_s < self._timing.silence_s / 2:
-            targets.update(owner.instance_id for owner in self._members())
-        targets.discard(self._own.instance_id)
-        return sorted(targets)
-
-
-def _steward(
-    server_id: ids.ServerId, shares: Mapping[ids.InstanceId, int]
-) -> ids.InstanceId | None:
-    """Returns the member that warms a backend server while it is cold."""
-    owners = [name for name, count in shares.items() if count]
-    if not owners:
-        return None
-    return max(
-        owners,
-        key=lambda name: (
-            shares[name],
-            xxhash.xxh64_intdigest(f"{server_id}\n{name}".encode()),
-        ),
-    )
--- a/packages/policy/tests/test_slot_ledger.py
+++ b/packages/policy/tests/test_slot_ledger.py
@@ -8,8 +8,9 @@
 from magnoliacrank.policy import slot_account
 from magnoliacrank.policy import slot_hold
 from magnoliacrank.policy import slot_ledger
+from magnoliacrank.policy import slot_timing
 
-_TIMING = slot_ledger.SlotTiming(longest_work_s=5.0)
+_TIMING = slot_timing.SlotTiming(longest_work_s=5.0)
 
 
 def _crew(number, shares, incarnation=1):
