--- a/packages/policy/src/magnoliacrank/policy/crew_view.py
+++ b/packages/policy/src/magnoliacrank/policy/crew_view.py
@@ -37,6 +37,7 @@
         self._shares: crew_shares.CrewShares | None = None
         self._formers: list[former_crew.FormerCrew] = []
         self._blind_until_s = _NEVER_S
+        self._blind_number = _NO_RECORD
         self._check_ids = itertools.count(1)
         self._checks_s: dict[int, float] = {}
         self._next_check_s = _NEVER_S
@@ -61,24 +62,24 @@
         """Whether this life is in the newest record."""
         return self._shares is not None and self._own in self._shares.members
 
-    def set_crew(
-        self, crew: crew_model.Crew, now_s: float, *, is_contiguous: bool
-    ) -> bool:
+    def set_crew(self, crew: crew_model.Crew, now_s: float) -> bool:
         """Changes to a newer record.
 
+        When the record that it replaced is not known, unknown owners are
+        waited out, or until a member tells that there are none.
+
         Args:
             crew: The record as folded from the log.
             now_s: Monotonic time in seconds.
-            is_contiguous: Whether the record before it was given too, or
-                there is none. Otherwise unknown owners are waited out.
 
         Returns:
             Whether the record is newer.
         """
         if crew.number <= self.number:
             return False
-        if not is_contiguous:
+        if crew.based_on != self.number:
             self._blind_until_s = now_s + self._timing.takeover_s
+            self._blind_number = crew.number
         if self._shares is not None:
             former = former_crew.FormerCrew(self._shares)
             former.note_aware(self._own, now_s)
@@ -100,6 +101,16 @@
                 usable = min(usable, limit)
         return usable
 
+    def is_steward(self, server_id: ids.ServerId, now_s: float) -> bool:
+        """Returns whether this life alone warms a backend server."""
+        if self._shares is None or now_s < self._blind_until_s:
+            return False
+        if self._shares.steward(server_id) != self._own:
+            return False
+        return all(
+            former.is_steward(self._own, server_id) for former in self._formers
+        )
+
     def end_old(self, now_s: float) -> bool:
         """Forgets older records that are over.
 
@@ -139,6 +150,7 @@
             message.check_id,
             self.number,
             over_share,
+            is_settled=not self._formers and now_s >= self._blind_until_s,
         )
         return slot_messages.Outgoing(message.sender.instance_id, state)
 
@@ -152,6 +164,8 @@
         self._note_aware(message.sender, message.crew_number, now_s)
         for former in self._formers:
             former.note_settled(message)
+        if message.is_settled and message.crew_number >= self._blind_number:
+            self._blind_until_s = min(self._blind_until_s, now_s)
 
     def checks(self, now_s: float) -> list[slot_messages.Outgoing]:
         """Returns checks to send to those whose answer is wanted."""
@@ -197,7 +211,9 @@
             for owner in former.awaited
         }
         left_s = self._trust.until_s - now_s
-        if self.is_member and left_s < self._timing.silence_s / 2:
+        is_unconfirmed = left_s < self._timing.silence_s / 2
+        is_blind = now_s < self._blind_until_s
+        if self.is_member and (is_unconfirmed or is_blind):
             targets.update(owner.instance_id for owner in shares.members)
         targets.discard(self._own.instance_id)
         return sorted(targets)
--- a/packages/policy/src/magnoliacrank/policy/former_crew.py
+++ b/packages/policy/src/magnoliacrank/policy/former_crew.py
@@ -49,7 +49,7 @@
         return awaited
 
     def succeed(self, successor: crew_shares.CrewShares) -> None:
-        """Works out whose share fell under a newer record."""
+        """Works out who has to give something up under a newer record."""
         self._successor = successor.number
         self._unsettled = {}
         for server_id in self._shares.servers:
@@ -59,6 +59,9 @@
                 if self._shares.share(owner, server_id)
                 > successor.share(owner, server_id)
             }
+            warmer = self._shares.steward(server_id)
+            if warmer is not None and warmer != successor.steward(server_id):
+                losers.add(warmer)
             if losers:
                 self._unsettled[server_id] = losers
 
@@ -94,6 +97,14 @@
             return False
         return now_s >= self._newer_s + wait_s
 
+    def is_steward(
+        self, owner: slot_messages.Owner, server_id: ids.ServerId
+    ) -> bool:
+        """Returns whether no one else may still warm a backend server."""
+        if server_id not in self._unsettled:
+            return True
+        return self._shares.steward(server_id) == owner
+
     def share_limit(
         self, owner: slot_messages.Owner, server_id: ids.ServerId
     ) -> int | None:
--- a/packages/policy/src/magnoliacrank/policy/slot_account.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_account.py
@@ -111,7 +111,9 @@
 
     @property
     def is_over_share(self) -> bool:
-        """Whether more than the record's share is occupied or lent."""
+        """Whether more is occupied or lent than the record allows."""
+        if self._is_cold and not self._is_steward and self._occupied():
+            return True
         return self._in_use + self._lent_count > self._record_share
 
     @property
--- a/packages/policy/src/magnoliacrank/policy/slot_ledger.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_ledger.py
@@ -75,22 +75,17 @@
         """Monotonic time in seconds until which own slots are usable."""
         return self._view.trust.until_s
 
-    def set_crew(
-        self,
-        crew: crew_model.Crew,
-        now_s: float,
-        *,
-        is_contiguous: bool = True,
-    ) -> None:
+    def set_crew(self, crew: crew_model.Crew, now_s: float) -> None:
         """Changes to a newer crew record; an older one is ignored.
 
+        Give each record, in order. When the record that it replaced was not
+        given, owners that are not known are waited out.
+
         Args:
             crew: The record as folded from the log.
             now_s: Monotonic time in seconds.
-            is_contiguous: Whether the record before it was given too, or
-                there is none. Otherwise unknown owners are waited out.
         """
-        if self._view.set_crew(crew, now_s, is_contiguous=is_contiguous):
+        if self._view.set_crew(crew, now_s):
             self._update_shares(now_s)
 
     def set_limit(
@@ -344,5 +339,5 @@
             record=shares.share(self._own, server_id),
             usable=self._view.usable_share(server_id, now_s),
             portion=shares.portion(self._own, server_id, account.limit),
-            is_steward=shares.steward(server_id) == self._own,
+            is_steward=self._view.is_steward(server_id, now_s),
         )
--- a/packages/policy/src/magnoliacrank/policy/slot_messages.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_messages.py
@@ -126,7 +126,10 @@
     """Newest crew record that the sender knows."""
 
     over_share: tuple[ids.ServerId, ...]
-    """Backend servers of which the sender occupies more than its share."""
+    """Backend servers of which the sender occupies more than it may."""
+
+    is_settled: bool
+    """Whether no owner under an older record can use its old share."""
 
 
 Message = LoanRequest | LoanGrant | LoanReturn | CrewCheck | CrewState
--- a/packages/policy/tests/test_slot_ledger.py
+++ b/packages/policy/tests/test_slot_ledger.py
@@ -18,7 +18,7 @@
     members = tuple(
         crew_model.CrewMember(name, incarnation, "dc1") for name in names
     )
-    return crew_model.Crew("refill", number, members, shares)
+    return crew_model.Crew("refill", number, members, shares, number - 1)
 
 
 def _ledger(name="a", crew=None, warm=("s1",)):
@@ -51,7 +51,7 @@
 
 
 def test_take_gives_no_more_than_the_share():
-    ledger = _ledger(crew=_crew(1, {"s1": {"a": 2, "b": 2}}))
+    ledger = _ledger(crew=_crew(0, {"s1": {"a": 2, "b": 2}}))
     holds, reason = _take_all(ledger, "s1", 1.0)
     assert (len(holds), reason) == (2, slot_hold.NoSlotReason.BUSY)
     ledger.release(holds[0], 1.0)
@@ -60,7 +60,7 @@
 
 
 def test_take_unconfirmed_record_gives_nothing():
-    ledger = _ledger(crew=_crew(1, {"s1": {"a": 2, "b": 2}}))
+    ledger = _ledger(crew=_crew(0, {"s1": {"a": 2, "b": 2}}))
     now_s = _TIMING.silence_s
     assert ledger.free("s1", now_s - 0.01) == 2
     assert ledger.free("s1", now_s) == 0
@@ -69,19 +69,19 @@
 
 
 def test_take_other_life_owns_nothing():
-    crew = _crew(1, {"s1": {"a": 4}}, incarnation=2)
+    crew = _crew(0, {"s1": {"a": 4}}, incarnation=2)
     _, reason = _take_all(_ledger(crew=crew), "s1", 1.0)
     assert reason is slot_hold.NoSlotReason.NOT_A_MEMBER
 
 
 def test_take_cold_server_is_one_members_alone():
-    crew = _crew(1, {"s1": {"a": 2, "b": 2}})
+    crew = _crew(0, {"s1": {"a": 2, "b": 2}})
     free = [_ledger(name, crew, warm=()).free("s1", 1.0) for name in "ab"]
     assert sorted(free) == [0, 1]
 
 
 def test_abandon_occupies_until_the_work_has_ended():
-    ledger = _ledger(crew=_crew(1, {"s1": {"a": 1, "b": 3}}))
+    ledger = _ledger(crew=_crew(0, {"s1": {"a": 1, "b": 3}}))
     hold = ledger.take("s1", 0.5)
     ledger.abandon(hold, 1.0, 2.0)
     assert ledger.free("s1", 1.9) == 0
@@ -92,7 +92,7 @@
 
 def test_set_crew_gained_slots_wait_for_the_former_owner():
     members = ({"a": 1, "b": 3}, {"a": 3, "b": 1})
-    old, new = (_crew(i + 1, {"s1": s}) for i, s in enumerate(members))
+    old, new = (_crew(i, {"s1": s}) for i, s in enumerate(members))
     gainer, loser = (_ledger(name, old) for name in "ab")
     hold = _take_all(loser, "s1", 0.1)[0][0]
     gainer.set_crew(new, 1.0)
--- a/packages/state/src/magnoliacrank/state/log_follower.py
+++ b/packages/state/src/magnoliacrank/state/log_follower.py
@@ -260,11 +260,13 @@
         return None
 
     def _fold_records(self, logged: Sequence[log_service.LoggedRecord]) -> None:
-        before = self._state
         for record in logged:
-            if record.offset == self._state.next_offset:
-                self._fold_record(record)
-        self._tell_changes(before)
+            if record.offset != self._state.next_offset:
+                continue
+            before = self._state
+            self._fold_record(record)
+            # Slot ledgers need each crew record, also those of one page.
+            self._tell_changes(before)
 
     def _fold_record(self, record: log_service.LoggedRecord) -> None:
         self._tail.put(record)
