--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+check-histories: $(STAMP)
+	$(BIN)/python -m pytest -m histories --durations=10
+
 format: $(STAMP)
 	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
