--- a/packages/cli/src/magnoliacrank/cli/check.py
+++ b/packages/cli/src/magnoliacrank/cli/check.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     import argparse
 
+    from magnoliacrank.cli import argument_parser
     from magnoliacrank.model import configuration
 
 EXIT_VALID = 0
@@ -33,6 +34,12 @@
     )
 
 
+def add_arguments(parser: argument_parser.ArgumentParser) -> None:
+    """Adds the flags of `check`."""
+    add_list_arguments(parser)
+    output_format.add_output_argument(parser)
+
+
 def load_lists(
     arguments: argparse.Namespace,
 ) -> configuration.Configuration | list_reader.InvalidLists:
--- /dev/null
+++ b/packages/cli/src/magnoliacrank/cli/entry_process.py
@@ -0,0 +1,124 @@
+"""EntryProcess: all parts of one entry instance, in start and stop order."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from magnoliacrank.cli import entry_parts
+from magnoliacrank.cli import starting_handler
+from magnoliacrank.gateway import front_limits
+from magnoliacrank.gateway import front_server
+from magnoliacrank.gateway import instance_status
+from magnoliacrank.model import ids
+from magnoliacrank.model import instance
+from magnoliacrank.peers import server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliacrank.cli import settings
+
+_PEER_GRACE_S = 1.0
+
+
+class EntryProcess:
+    """One entry instance.
+
+    Args:
+        options: Settings.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        options: settings.Settings,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._options = options
+        self._clock = clock
+        self._peer_handlers = server.PeerHandlers()
+        self._peer_server = server.PeerServer(
+            options.instance_id,
+            options.host,
+            options.peer_port,
+            self._peer_handlers,
+        )
+        self._handler = starting_handler.StartingHandler()
+        self._front = front_server.FrontServer(
+            self._handler, front_limits.FrontLimits()
+        )
+        self._parts: entry_parts.EntryParts | None = None
+
+    @property
+    def parts(self) -> entry_parts.EntryParts:
+        """Parts of the instance; there are none before `start`."""
+        assert self._parts is not None
+        return self._parts
+
+    @property
+    def own(self) -> instance.EntryInstance:
+        """This instance with the ports that it got."""
+        return self.parts.own
+
+    async def start(self) -> None:
+        """Binds both ports, then starts all parts.
+
+        Raises:
+            OSError: The port for callers cannot be bound.
+            errors.PeerBindError: The port for instances cannot be bound.
+        """
+        await self._peer_server.start()
+        try:
+            await self._front.start(self._options.host, self._options.http_port)
+        except OSError:
+            await self._peer_server.close()
+            raise
+        own = instance.EntryInstance(
+            instance_id=self._options.instance_id,
+            data_centre=self._options.data_centre,
+            host=self._options.host,
+            http_port=self._front.port,
+            peer_port=self._peer_server.port,
+            incarnation=ids.Incarnation(time.time_ns()),
+        )
+        parts = entry_parts.assemble(self._options, own, self._clock)
+        self._parts = parts
+        self._peer_handlers.exchange = parts.membership.on_exchange
+        self._peer_handlers.deliver = parts.messages.on_delivery
+        for part in parts.in_start_order:
+            await part.start()
+        parts.status.phase = instance_status.Phase.SERVING
+        self._handler.target = parts.handler
+        logging.info(
+            "serve: %s listens on %s:%d.",
+            own.instance_id,
+            own.host,
+            own.http_port,
+        )
+
+    async def leave(self) -> None:
+        """Drops out of what callers are told, and waits for its time.
+
+        Requests are still served in that time.
+        """
+        self.parts.status.phase = instance_status.Phase.LEAVING
+        self.parts.membership.leave()
+        logging.info("serve: Leaving; no new callers are sent here.")
+        await asyncio.sleep(self._options.entry_ttl_s)
+
+    async def close(self, grace_s: float) -> None:
+        """Finishes the requests in flight, then closes all parts.
+
+        Args:
+            grace_s: Longest time for the requests in flight, in seconds.
+        """
+        await self._front.close(grace_s)
+        if self._parts is not None:
+            for part in reversed(self._parts.in_start_order):
+                await part.close()
+        await self._peer_server.close(_PEER_GRACE_S)
+        logging.info("serve: Closed.")
--- /dev/null
+++ b/packages/cli/src/magnoliacrank/cli/listing_task.py
@@ -0,0 +1,71 @@
+"""ListingTask: reads the platform's instance list again and again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from magnoliacrank.gateway import periodic_task
+from magnoliacrank.model import instance
+from magnoliacrank.platform import instance_list
+
+if TYPE_CHECKING:
+    from magnoliacrank.gateway import service_directory
+    from magnoliacrank.peers import membership_task
+    from magnoliacrank.state import move_table
+
+_LOG_PERIOD_S = 10
+
+
+class ListingTask:
+    """Passes changes of the list on; an outage leaves the last list in force.
+
+    Args:
+        source: The platform's list.
+        services: Takes the backend servers.
+        membership: Takes the entry instances.
+        moves: Takes the slots of each version.
+        period_s: Seconds between two reads.
+    """
+
+    def __init__(
+        self,
+        source: instance_list.InstanceList,
+        services: service_directory.ServiceDirectory,
+        membership: membership_task.MembershipTask,
+        moves: move_table.MoveTable,
+        period_s: float,
+    ) -> None:
+        self._source = source
+        self._services = services
+        self._membership = membership
+        self._moves = moves
+        self._seen = instance.Listing()
+        self._task = periodic_task.PeriodicTask("list", period_s, self._read)
+
+    async def start(self) -> None:
+        """Begins to read."""
+        await self._task.start()
+
+    async def close(self) -> None:
+        """Stops reading."""
+        await self._task.close()
+
+    async def _read(self) -> None:
+        try:
+            listing = await self._source.fetch()
+        except instance_list.InstanceListUnavailableError as error:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "list: The instance list is unavailable: %s.",
+                _LOG_PERIOD_S,
+                error,
+            )
+            return
+        if listing == self._seen:
+            return
+        self._seen = listing
+        self._services.set_servers(listing.servers)
+        self._membership.update_listing(listing)
+        self._moves.on_listing(listing)
--- a/packages/cli/src/magnoliacrank/cli/main.py
+++ b/packages/cli/src/magnoliacrank/cli/main.py
@@ -2,9 +2,80 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
+from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import cast
 
+import attrs
 
-def main() -> None:
-    """Runs the command that the arguments name."""
-    sys.exit(2)
+from magnoliacrank.cli import argument_parser
+
+if TYPE_CHECKING:
+    import argparse
+    from collections.abc import Sequence
+
+
+class Command(Protocol):
+    """What each command's module offers."""
+
+    def add_arguments(self, parser: argument_parser.ArgumentParser) -> None:
+        """Adds the command's flags."""
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Runs the command and returns the exit code."""
+
+
+@attrs.frozen
+class _CommandEntry:
+    """One command and the module that holds it."""
+
+    name: str
+    module: str
+    summary: str
+
+
+_COMMANDS = (
+    _CommandEntry("serve", "serve", "run an entry instance"),
+    _CommandEntry("check", "check", "validate the two lists offline"),
+    _CommandEntry("publish", "publish", "put the two lists into force"),
+    _CommandEntry("watch", "watch", "print notices as they come"),
+    _CommandEntry("status", "status", "print what is in force where"),
+    _CommandEntry("demo", "demo", "run the whole path on loopback"),
+)
+
+
+def build_parser() -> argument_parser.ArgumentParser:
+    """Returns the parser of the whole program."""
+    parser = argument_parser.ArgumentParser(
+        prog="magnoliacrank",
+        description="Load balancer for servers whose load shifts in "
+        "milliseconds. Each flag can be set by an environment variable, "
+        "such as MAGNOLIACRANK_HTTP_PORT for --http-port.",
+    )
+    commands = parser.add_subparsers(
+        dest="command", required=True, metavar="COMMAND"
+    )
+    for entry in _COMMANDS:
+        command = commands.add_parser(
+            entry.name, help=entry.summary, description=entry.summary
+        )
+        _load(entry).add_arguments(command)
+        command.set_defaults(entry=entry)
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Runs the command that the arguments name.
+
+    Args:
+        argv: Arguments without the program's name; None takes the process's.
+    """
+    arguments = build_parser().parse_args(argv)
+    sys.exit(_load(arguments.entry).run(arguments))
+
+
+def _load(entry: _CommandEntry) -> Command:
+    module = importlib.import_module(f"magnoliacrank.cli.{entry.module}")
+    return cast("Command", module)
--- /dev/null
+++ b/packages/cli/src/magnoliacrank/cli/settings.py
@@ -0,0 +1,194 @@
+"""Settings of one entry instance, from flags and environment variables."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from magnoliacrank.cli import argument_parser
+from magnoliacrank.model import ids
+
+if TYPE_CHECKING:
+    import argparse
+
+_MAX_PORT = 65535
+_MAX_PERIOD_S = 3600.0
+_MAX_DRAIN_S = 86400.0
+
+
+@attrs.frozen
+class Settings:
+    """Settings of one entry instance."""
+
+    instance_id: ids.InstanceId
+    """Name of the instance; stays the same over restarts."""
+
+    data_centre: ids.DataCentre
+    """Data centre in which it stands."""
+
+    host: str
+    """IP number on which it listens and under which others reach it."""
+
+    http_port: int
+    """TCP port for callers and operators."""
+
+    peer_port: int
+    """TCP port for other entry instances."""
+
+    log_url: str
+    """Base URL of the platform's log service."""
+
+    log_stream: str
+    """Name of the stream in the log service."""
+
+    instances_url: str
+    """Base URL of the platform's instance list."""
+
+    list_period_s: float
+    """Seconds between two reads of the instance list."""
+
+    entry_ttl_s: float
+    """Seconds for which callers may keep an answer about entries."""
+
+    ticket_mint_s: float
+    """Seconds in which a ticket makes new keys."""
+
+    key_horizon_s: float
+    """Seconds after that in which repeats of a key are recognised."""
+
+    drain_timeout_s: float
+    """Longest time for requests in flight at a shutdown, in seconds."""
+
+    otlp_endpoint: str
+    """OTLP/HTTP endpoint for traces; empty switches them off."""
+
+    trace_ratio: float
+    """Share of new traces that are sampled, from 0 to 1."""
+
+    verbosity: int
+    """Verbosity of the log: -1 warnings, 0 information, 1 debugging."""
+
+
+def add_arguments(parser: argument_parser.ArgumentParser) -> None:
+    """Adds the flags of `serve` in groups."""
+    _add_identity(parser.add_argument_group("instance"))
+    _add_platform(parser.add_argument_group("platform"))
+    _add_callers(parser.add_argument_group("callers"))
+    _add_observability(parser.add_argument_group("observability"))
+
+
+def from_arguments(arguments: argparse.Namespace) -> Settings:
+    """Returns the settings that parsed arguments hold."""
+    names = [field.name for field in attrs.fields(Settings)]
+    return Settings(**{name: getattr(arguments, name) for name in names})
+
+
+def _add_identity(group: argparse._ArgumentGroup) -> None:
+    port = argument_parser.whole_number(0, _MAX_PORT)
+    group.add_argument(
+        "--instance-id",
+        type=argument_parser.identifier,
+        required=True,
+        help="name of this instance, the same over restarts",
+    )
+    group.add_argument(
+        "--data-centre",
+        type=argument_parser.identifier,
+        required=True,
+        help="data centre in which this instance stands",
+    )
+    group.add_argument(
+        "--host",
+        type=argument_parser.ip_address,
+        default="127.0.0.1",
+        help="IP number to listen on and to be reached under",
+    )
+    group.add_argument(
+        "--http-port",
+        type=port,
+        default=8080,
+        help="TCP port for callers and operators; 0 takes a free one",
+    )
+    group.add_argument(
+        "--peer-port",
+        type=port,
+        default=8081,
+        help="TCP port for other entry instances; 0 takes a free one",
+    )
+
+
+def _add_platform(group: argparse._ArgumentGroup) -> None:
+    group.add_argument(
+        "--log-url",
+        type=argument_parser.http_url,
+        required=True,
+        help="base URL of the platform's log service",
+    )
+    group.add_argument(
+        "--log-stream",
+        type=argument_parser.identifier,
+        default="magnoliacrank",
+        help="stream in the log service",
+    )
+    group.add_argument(
+        "--instances-url",
+        type=argument_parser.http_url,
+        required=True,
+        help="base URL of the platform's instance list",
+    )
+    group.add_argument(
+        "--list-period-s",
+        type=argument_parser.seconds(0.05, _MAX_PERIOD_S),
+        default=1.0,
+        help="seconds between two reads of the instance list",
+    )
+
+
+def _add_callers(group: argparse._ArgumentGroup) -> None:
+    period = argument_parser.seconds(0.1, _MAX_PERIOD_S)
+    long_period = argument_parser.seconds(1.0, _MAX_DRAIN_S)
+    group.add_argument(
+        "--entry-ttl-s",
+        type=period,
+        default=5.0,
+        help="seconds for which callers may keep the answer about entries",
+    )
+    group.add_argument(
+        "--ticket-mint-s",
+        type=long_period,
+        default=300.0,
+        help="seconds in which a ticket makes new keys",
+    )
+    group.add_argument(
+        "--key-horizon-s",
+        type=long_period,
+        default=900.0,
+        help="seconds after that in which repeats of a key are recognised",
+    )
+    group.add_argument(
+        "--drain-timeout-s",
+        type=argument_parser.seconds(0.0, _MAX_DRAIN_S),
+        default=60.0,
+        help="seconds that requests in flight get at a shutdown",
+    )
+
+
+def _add_observability(group: argparse._ArgumentGroup) -> None:
+    group.add_argument(
+        "--otlp-endpoint",
+        default="",
+        help="OTLP/HTTP endpoint for traces; empty switches them off",
+    )
+    group.add_argument(
+        "--trace-ratio",
+        type=argument_parser.ratio,
+        default=0.01,
+        help="share of new traces that are sampled, from 0 to 1",
+    )
+    group.add_argument(
+        "--verbosity",
+        type=argument_parser.whole_number(-3, 2),
+        default=0,
+        help="verbosity of the log: -1 warnings, 0 information, 1 debugging",
+    )
--- /dev/null
+++ b/packages/cli/tests/test_entry_process.py
@@ -0,0 +1,67 @@
+"""Tests of the whole path: entry instances on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from magnoliacrank.cli import demo_world
+from magnoliacrank.model import request
+from magnoliacrank.model import verdict
+from magnoliacrank.standins import caller
+
+
+@pytest.fixture
+async def world():
+    started = demo_world.DemoWorld()
+    await started.start()
+    await started.publish()
+    await started.until_ready()
+    yield started
+    await started.close()
+
+
+def _caller(world):
+    return caller.Caller(
+        demo_world.CUSTOMER, demo_world.SERVICE, "rennes", world.urls
+    )
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "request_class", "body"),
+    [
+        ("GET", "/stops/1", request.RequestClass.IDEMPOTENT, b""),
+        ("POST", "/refills/1", request.RequestClass.AT_MOST_ONCE, b"x"),
+        (
+            "PUT",
+            "/sheets/1",
+            request.RequestClass.DEFERRABLE,
+            bytes(3_000_000),
+        ),
+    ],
+)
+async def test_request_of_each_class_is_answered_whole(
+    world, method, target, request_class, body
+):
+    one = _caller(world)
+    await one.start()
+    wanted = caller.Wanted(method, target, request_class, body)
+    result = await one.send(wanted)
+    await one.close()
+    assert result.outcome is verdict.Outcome.DONE
+    assert result.is_whole
+    assert len(world.journal.executions) == 1
+
+
+async def test_data_centre_that_is_out_gets_no_work(world):
+    world.states["rennes"] = "out"
+    await world.publish()
+    one = _caller(world)
+    await one.start()
+    wanted = caller.Wanted("GET", "/stops/1", request.RequestClass.IDEMPOTENT)
+    results = await asyncio.gather(*(one.send(wanted) for _ in range(20)))
+    await one.close()
+    assert all(result.is_whole for result in results)
+    ran = {run.server_id for run in world.journal.executions}
+    assert not any(name.startswith("rennes") for name in ran)
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/entry_handler.py
@@ -0,0 +1,214 @@
+"""EntryHandler: the paths of the product itself, and all other requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib import parse as urllib_parse
+
+import msgspec
+
+from magnoliacrank.gateway import request_carrier
+from magnoliacrank.model import headers
+from magnoliacrank.model import ids
+from magnoliacrank.model import verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from magnoliacrank.gateway import forwarder
+    from magnoliacrank.gateway import inbound_exchange
+    from magnoliacrank.gateway import instance_status
+    from magnoliacrank.gateway import key_guard
+    from magnoliacrank.gateway import peer_directory
+    from magnoliacrank.gateway import service_directory
+    from magnoliacrank.model import crew
+    from magnoliacrank.model import instance
+
+_FORWARD_TIMEOUT_S = 1.0
+_JSON = ("Content-Type", "application/json")
+_TEXT = ("Content-Type", "text/plain; charset=utf-8")
+_STATUS_OK = 200
+_STATUS_UNAVAILABLE = 503
+
+
+class EntryHandler:
+    """Answers callers and operators on one port.
+
+    Args:
+        own: This instance.
+        carrier: Handles requests for services.
+        services: Services of this instance.
+        keys: Issues tickets.
+        peers: Live instances.
+        forwards: Passes requests on to other instances.
+        status: What operators see of this instance.
+        entry_ttl_s: Seconds for which callers may keep an answer.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: instance.EntryInstance,
+        carrier: request_carrier.RequestCarrier,
+        services: service_directory.ServiceDirectory,
+        keys: key_guard.KeyGuard,
+        peers: peer_directory.PeerDirectory,
+        forwards: forwarder.Forwarder,
+        status: instance_status.InstanceStatus,
+        entry_ttl_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._own = own
+        self._carrier = carrier
+        self._services = services
+        self._keys = keys
+        self._peers = peers
+        self._forwards = forwards
+        self._status = status
+        self._entry_ttl_s = entry_ttl_s
+        self._clock = clock
+        self._paths: Mapping[
+            str,
+            Callable[[inbound_exchange.InboundExchange], Awaitable[None]],
+        ] = {
+            headers.ENTRIES_PATH: self._on_entries,
+            headers.STATUS_PATH: self._on_status,
+            headers.NOTICES_PATH: self._on_notices,
+            headers.HEALTH_PATH: self._on_health,
+            headers.READY_PATH: self._on_ready,
+            headers.METRICS_PATH: self._on_metrics,
+        }
+
+    async def on_request(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        """Answers one request."""
+        own_path = self._paths.get(exchange.path)
+        if own_path is None or headers.SERVICE in exchange.headers:
+            await self._carrier.on_request(exchange)
+        else:
+            await own_path(exchange)
+
+    async def _on_entries(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        query = _query(exchange)
+        name = ids.ServiceName(query.get("service", ""))
+        runtime = self._services.find(name)
+        if not self._status.is_ready or (
+            runtime is not None and runtime.crew is None
+        ):
+            await _refuse(exchange, verdict.Reason.NOT_READY)
+            return
+        if runtime is None or runtime.crew is None:
+            await _refuse(exchange, verdict.Reason.UNKNOWN_SERVICE)
+            return
+        entries = _order(
+            runtime.crew,
+            self._peers,
+            query.get("data_centre", self._own.data_centre),
+        )
+        if headers.FORWARDED_BY not in exchange.headers:
+            for peer in entries:
+                if peer.instance_id == self._own.instance_id:
+                    break
+                if await self._ask(exchange, peer):
+                    return
+        await self._answer_entries(exchange, name, entries)
+
+    async def _ask(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        peer: instance.EntryInstance,
+    ) -> bool:
+        """Lets the preferred instance answer, with a ticket of its own."""
+        deadline_s = self._clock() + _FORWARD_TIMEOUT_S
+        failure = await self._forwards.forward(exchange, peer, b"", deadline_s)
+        return failure is None
+
+    async def _answer_entries(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        name: ids.ServiceName,
+        entries: tuple[instance.EntryInstance, ...],
+    ) -> None:
+        own_id = self._own.instance_id
+        ordered = sorted(entries, key=lambda one: one.instance_id != own_id)
+        rows = [
+            {
+                "instance": one.instance_id,
+                "data_centre": one.data_centre,
+                "host": one.host,
+                "port": one.http_port,
+            }
+            for one in ordered
+        ]
+        document = {
+            "service": name,
+            "entries": rows,
+            "ttl_s": self._entry_ttl_s,
+            "ticket": self._keys.issue_ticket(name),
+        }
+        await _answer_json(exchange, _STATUS_OK, document)
+
+    async def _on_status(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        await _answer_json(exchange, _STATUS_OK, self._status.describe())
+
+    async def _on_notices(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        text = _query(exchange).get("from_offset", "0")
+        from_offset = int(text) if text.isascii() and text.isdigit() else 0
+        rows = self._status.notices(from_offset)
+        await _answer_json(exchange, _STATUS_OK, {"notices": rows})
+
+    async def _on_health(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        await exchange.answer(_STATUS_OK, [_TEXT], b"ok\n")
+
+    async def _on_ready(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        reason = self._status.readiness
+        status = _STATUS_OK if self._status.is_ready else _STATUS_UNAVAILABLE
+        await exchange.answer(status, [_TEXT], f"{reason}\n".encode())
+
+    async def _on_metrics(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        content, content_type = self._status.metrics(
+            exchange.headers.getall("Accept", [])
+        )
+        fields = [("Content-Type", content_type)]
+        await exchange.answer(_STATUS_OK, fields, content)
+
+
+def _query(exchange: inbound_exchange.InboundExchange) -> dict[str, str]:
+    _, _, text = exchange.target.partition("?")
+    return dict(urllib_parse.parse_qsl(text))
+
+
+async def _refuse(
+    exchange: inbound_exchange.InboundExchange, reason: verdict.Reason
+) -> None:
+    await request_carrier.answer_verdict(exchange, verdict.not_run(reason))
+
+
+async def _answer_json(
+    exchange: inbound_exchange.InboundExchange, status: int, document: object
+) -> None:
+    await exchange.answer(status, [_JSON], msgspec.json.encode(document))
+
+
+def _order(
+    record: crew.Crew, peers: peer_directory.PeerDirectory, data_centre: str
+) -> tuple[instance.EntryInstance, ...]:
+    found = [peers.find(member.instance_id) for member in record.members]
+    live = [one for one in found if one is not None]
+    return tuple(sorted(live, key=lambda one: one.data_centre != data_centre))
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/peer_link.py
@@ -0,0 +1,147 @@
+"""PeerLink: the crews' messages between entry instances."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import functools
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+
+from magnoliacrank.policy import rollout_evidence
+from magnoliacrank.policy import sample
+from magnoliacrank.policy import slot_ledger
+from magnoliacrank.policy import slot_messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliacrank.gateway import service_directory
+    from magnoliacrank.gateway import service_runtime
+    from magnoliacrank.model import instance
+    from magnoliacrank.peers import messenger
+    from magnoliacrank.peers import server
+    from magnoliacrank.state import move_table
+
+
+@attrs.frozen
+class ServerSigns:
+    """What a member of a crew learned of backend servers."""
+
+    signs: tuple[sample.ServerSign, ...]
+    """One sign for each server."""
+
+
+_Take = Callable[
+    [slot_ledger.SlotLedger, Any, float], list[slot_messages.Outgoing]
+]
+
+_SLOT_MESSAGES: tuple[tuple[str, type[Any], _Take], ...] = (
+    (
+        "crew-check",
+        slot_messages.CrewCheck,
+        slot_ledger.SlotLedger.on_crew_check,
+    ),
+    (
+        "crew-state",
+        slot_messages.CrewState,
+        slot_ledger.SlotLedger.on_crew_state,
+    ),
+)
+"""Kinds of slot messages with the method that takes each."""
+
+
+class PeerLink:
+    """Sends and takes the messages of slots and of server states.
+
+    Args:
+        own: This instance.
+        services: Services of this instance.
+        messages: Carries messages between instances.
+        moves: Moves that this instance takes part in.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        own: instance.EntryInstance,
+        services: service_directory.ServiceDirectory,
+        moves: move_table.MoveTable,
+        messages: messenger.PeerMessenger,
+        clock: Callable[[], float],
+    ) -> None:
+        self._own = own
+        self._services = services
+        self._moves = moves
+        self._messages = messages
+        self._clock = clock
+
+    def register(self) -> None:
+        """Takes the messages from now on."""
+        for kind, message_type, take in _SLOT_MESSAGES:
+            self._messages.register(
+                kind, message_type, functools.partial(self._on_slot, take)
+            )
+        self._messages.register("signs", ServerSigns, self._on_signs)
+        self._messages.register(
+            "evidence", rollout_evidence.Evidence, self._on_evidence
+        )
+
+    def tick(self) -> None:
+        """Does what is due in all services and tells the crews."""
+        self._send(self._services.tick())
+        for runtime in self._services.services:
+            self._send_signs(runtime)
+
+    def send_evidence(self, evidence: rollout_evidence.Evidence) -> None:
+        """Tells the crew of a moving service what was seen here."""
+        for name, tracker in self._moves.trackers.items():
+            runtime = self._services.find(name)
+            if tracker.move.move_id == evidence.move_id and runtime is not None:
+                self._send_crew(runtime, evidence)
+
+    def _send(self, outgoing: Iterable[slot_messages.Outgoing]) -> None:
+        for one in outgoing:
+            self._messages.send(one.to, one.message)
+
+    def _send_signs(self, runtime: service_runtime.ServiceRuntime) -> None:
+        signs = runtime.router.take_signs()
+        if not signs:
+            return
+        self._send_crew(runtime, ServerSigns(signs))
+
+    def _send_crew(
+        self,
+        runtime: service_runtime.ServiceRuntime,
+        message: ServerSigns | rollout_evidence.Evidence,
+    ) -> None:
+        if runtime.crew is None:
+            return
+        for member in runtime.crew.members:
+            if member.instance_id != self._own.instance_id:
+                self._messages.send(member.instance_id, message)
+
+    def _on_evidence(
+        self, sender: server.PeerSender, message: rollout_evidence.Evidence
+    ) -> None:
+        del sender
+        self._moves.on_evidence(message)
+
+    def _on_signs(
+        self, sender: server.PeerSender, message: ServerSigns
+    ) -> None:
+        del sender
+        for sign in message.signs:
+            self._services.on_sign(sign)
+
+    def _on_slot(
+        self,
+        take: _Take,
+        sender: server.PeerSender,
+        message: slot_messages.Message,
+    ) -> None:
+        del sender
+        runtime = self._services.find(message.service)
+        if runtime is not None:
+            self._send(take(runtime.ledger, message, self._clock()))
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
@@ -0,0 +1,305 @@
+"""RequestCarrier: decides where a caller's request goes and answers it."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from magnoliacrank.gateway import body as bodies
+from magnoliacrank.gateway import dispatcher
+from magnoliacrank.gateway import forwarder
+from magnoliacrank.gateway import key_guard
+from magnoliacrank.gateway import peer_directory
+from magnoliacrank.gateway import refusal
+from magnoliacrank.gateway import request_reader
+from magnoliacrank.gateway import service_directory
+from magnoliacrank.model import headers
+from magnoliacrank.model import request
+from magnoliacrank.model import verdict
+from magnoliacrank.policy import key_table
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliacrank.gateway import inbound_exchange
+    from magnoliacrank.gateway import service_runtime
+    from magnoliacrank.model import instance
+
+_KEYED_BODY_BYTES = 1024 * 1024
+_HELD_BODY_BYTES = 64 * 1024
+_DIGEST_BYTES = 16
+_STATUS_NO_CONTENT = 204
+
+
+@attrs.frozen
+class Collaborators:
+    """What the carrier works with."""
+
+    services: service_directory.ServiceDirectory
+    """Services of this instance."""
+
+    keys: key_guard.KeyGuard
+    """Keys of this instance."""
+
+    dispatches: dispatcher.Dispatcher
+    """Carries requests to backend servers."""
+
+    forwards: forwarder.Forwarder
+    """Passes requests on to other instances."""
+
+    peers: peer_directory.PeerDirectory
+    """Live instances."""
+
+
+class RequestCarrier:
+    """Handles every request for a service.
+
+    Args:
+        own: This instance.
+        parts: What it works with.
+        is_ready: Whether the configuration may be acted on.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        own: instance.EntryInstance,
+        parts: Collaborators,
+        is_ready: Callable[[], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._own = own
+        self._parts = parts
+        self._is_ready = is_ready
+        self._clock = clock
+
+    async def on_request(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        """Answers one request."""
+        result = await self._carry(exchange)
+        if result is not None:
+            await answer_verdict(exchange, result)
+
+    async def _carry(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> verdict.Verdict | None:
+        if not self._is_ready():
+            return _unconsulted(exchange, verdict.Reason.NOT_READY)
+        routed = request_reader.read_request(
+            exchange, self._parts.services.table, self._clock()
+        )
+        if isinstance(routed, request_reader.InvalidRequest):
+            return _unconsulted(exchange, routed.reason)
+        if routed.request.request_class is request.RequestClass.AT_MOST_ONCE:
+            if routed.route.key_mode is not request.KeyMode.TICKETED:
+                return verdict.not_run(verdict.Reason.CLAIM_UNAVAILABLE)
+            return await self._carry_ticketed(exchange, routed)
+        content = await _read_content(exchange)
+        if isinstance(content, bodies.BodyFailure):
+            return verdict.not_run(verdict.Reason.BAD_REQUEST)
+        return await self._carry_unkeyed(exchange, routed, content)
+
+    async def _carry_unkeyed(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        routed: request_reader.RoutedRequest,
+        content: bytes | bodies.BodySource,
+    ) -> verdict.Verdict | None:
+        runtime = self._runtime_of(routed)
+        if runtime is None:
+            return verdict.not_run(verdict.Reason.NOT_READY)
+        if not runtime.is_member and not _is_forwarded(exchange):
+            return await self._forward_to_crew(
+                exchange, routed, runtime, content
+            )
+        result = await self._parts.dispatches.dispatch(
+            exchange, routed, runtime, content
+        )
+        return result if isinstance(result, verdict.Verdict) else None
+
+    async def _carry_ticketed(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        routed: request_reader.RoutedRequest,
+    ) -> verdict.Verdict | None:
+        if not routed.ticket:
+            return verdict.not_run(verdict.Reason.TICKET_INVALID)
+        content = await exchange.read_body(_KEYED_BODY_BYTES)
+        if not isinstance(content, bytes):
+            return verdict.may_have_run(verdict.Reason.BAD_REQUEST)
+        owner = self._parts.keys.find_owner(routed.ticket)
+        if isinstance(owner, verdict.Verdict):
+            return owner
+        if owner is not None:
+            return await self._forward_to_owner(
+                exchange, routed, owner, content
+            )
+        digest = _digest(exchange, content)
+        typed = attrs.evolve(routed.request, digest=digest)
+        routed = attrs.evolve(routed, request=typed)
+        return await self._run_keyed(exchange, routed, content)
+
+    async def _run_keyed(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        routed: request_reader.RoutedRequest,
+        content: bytes,
+    ) -> verdict.Verdict | None:
+        keys = self._parts.keys
+        decision = await keys.begin(routed.request, routed.ticket)
+        if isinstance(decision, key_table.KeyRefused):
+            return decision.verdict
+        if isinstance(decision, key_table.Repeat):
+            return await _answer_repeat(exchange, decision)
+        runtime = self._runtime_of(routed)
+        outcome = verdict.may_have_run(verdict.Reason.CONNECTION_LOST)
+        kept = None
+        try:
+            if runtime is None:
+                outcome = verdict.not_run(verdict.Reason.NOT_READY)
+                return outcome
+            result = await self._parts.dispatches.dispatch(
+                exchange, routed, runtime, content
+            )
+            if isinstance(result, verdict.Verdict):
+                outcome = result
+                return result
+            outcome = verdict.DONE
+            kept = result.kept
+            return None
+        finally:
+            keys.finish(decision, outcome, kept)
+
+    async def _forward_to_owner(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        routed: request_reader.RoutedRequest,
+        owner: key_guard.OwnedElsewhere,
+        content: bytes,
+    ) -> verdict.Verdict | None:
+        peer = self._parts.peers.find(owner.ticket.instance_id)
+        if peer is None or peer.incarnation != owner.ticket.incarnation:
+            return verdict.may_have_run(verdict.Reason.OWNER_LOST)
+        if _is_forwarded(exchange):
+            return verdict.may_have_run(verdict.Reason.OWNER_UNREACHABLE)
+        failure = await self._parts.forwards.forward(
+            exchange, peer, content, routed.request.deadline_s
+        )
+        if failure is None:
+            return None
+        # An earlier copy of the request may have reached the owner.
+        return verdict.may_have_run(verdict.Reason.OWNER_UNREACHABLE)
+
+    async def _forward_to_crew(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        routed: request_reader.RoutedRequest,
+        runtime: service_runtime.ServiceRuntime,
+        content: bytes | bodies.BodySource,
+    ) -> verdict.Verdict | None:
+        result = verdict.not_run(verdict.Reason.NOT_READY)
+        for peer in self._crew_peers(runtime):
+            failure = await self._parts.forwards.forward(
+                exchange, peer, content, routed.request.deadline_s
+            )
+            if failure is None:
+                return None
+            result = failure
+            if failure.may_have_run or not isinstance(content, bytes):
+                break
+        return result
+
+    def _crew_peers(
+        self, runtime: service_runtime.ServiceRuntime
+    ) -> list[instance.EntryInstance]:
+        if runtime.crew is None:
+            return []
+        found = [
+            self._parts.peers.find(member.instance_id)
+            for member in runtime.crew.members
+        ]
+        others = [
+            peer
+            for peer in found
+            if peer is not None and peer.instance_id != self._own.instance_id
+        ]
+        own = self._own.data_centre
+        others.sort(key=lambda peer: peer.data_centre != own)
+        return others
+
+    def _runtime_of(
+        self, routed: request_reader.RoutedRequest
+    ) -> service_runtime.ServiceRuntime | None:
+        runtime = self._parts.services.find(routed.request.service)
+        if runtime is None or runtime.crew is None:
+            return None
+        return runtime
+
+
+async def answer_verdict(
+    exchange: inbound_exchange.InboundExchange, result: verdict.Verdict
+) -> None:
+    """Answers a request with a verdict, unless an answer has begun."""
+    refused = refusal.build_refusal(result)
+    await exchange.answer(refused.status, refused.headers, refused.body)
+
+
+async def _answer_repeat(
+    exchange: inbound_exchange.InboundExchange, repeat: key_table.Repeat
+) -> verdict.Verdict | None:
+    kept = repeat.answer
+    if not repeat.verdict.is_done:
+        return repeat.verdict
+    if kept is None:
+        fields = [
+            (headers.VERDICT, repeat.verdict.outcome.value),
+            (headers.REASON, repeat.verdict.reason.value),
+        ]
+        await exchange.answer(_STATUS_NO_CONTENT, fields, b"")
+        return None
+    fields = [
+        pair
+        for pair in kept.headers
+        if pair[0].lower() != headers.REASON.lower()
+    ]
+    fields.append((headers.REASON, repeat.verdict.reason.value))
+    await exchange.answer(kept.status, fields, kept.body)
+    return None
+
+
+async def _read_content(
+    exchange: inbound_exchange.InboundExchange,
+) -> bytes | bodies.BodySource | bodies.BodyFailure:
+    length = exchange.body_length
+    if length is None or length > _HELD_BODY_BYTES:
+        return exchange
+    content = await exchange.read_body(_HELD_BODY_BYTES)
+    if isinstance(content, bodies.BodyTooLarge):
+        return bodies.MALFORMED
+    return content
+
+
+def _digest(
+    exchange: inbound_exchange.InboundExchange, content: bytes
+) -> bytes:
+    head = f"{exchange.method} {exchange.target}\n".encode()
+    whole = hashlib.blake2b(head, digest_size=_DIGEST_BYTES)
+    whole.update(content)
+    return whole.digest()
+
+
+def _is_forwarded(exchange: inbound_exchange.InboundExchange) -> bool:
+    return headers.FORWARDED_BY in exchange.headers
+
+
+def _unconsulted(
+    exchange: inbound_exchange.InboundExchange, reason: verdict.Reason
+) -> verdict.Verdict:
+    """Returns the verdict on a request whose key's owner was not asked."""
+    if headers.TICKET in exchange.headers:
+        return verdict.may_have_run(reason)
+    return verdict.not_run(reason)
--- a/packages/gateway/src/magnoliacrank/gateway/server_pool.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_pool.py
@@ -26,6 +26,7 @@
 FailureKind = exchange_failure.FailureKind
 ExchangeFailure = exchange_failure.ExchangeFailure
 
+_DRAIN_POLL_S = 0.05
 _NOT_RUN_VALUE = "1"
 _MIN_REFUSAL_STATUS = 400
 
@@ -96,9 +97,24 @@
         return self._busy
 
     async def start(self) -> None:
+        """Allows requests; connections open on demand."""
+        self.open()
+
+    def open(self) -> None:
         """Allows requests; connections open on demand."""
         self._is_open = True
 
+    async def drain(self) -> None:
+        """Closes the connections once the requests under way have ended."""
+        self._is_open = False
+        for connection in list(self._idle):
+            connection.retire(FailureKind.CONNECTION_LOST)
+        while self._busy:
+            await asyncio.sleep(_DRAIN_POLL_S)
+            for connection in list(self._idle):
+                connection.retire(FailureKind.CONNECTION_LOST)
+        await self.close()
+
     async def close(self) -> None:
         """Closes all connections; requests under way fail."""
         self._is_open = False
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/service_directory.py
@@ -0,0 +1,190 @@
+"""ServiceDirectory: the services that this instance can carry."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from magnoliacrank.gateway import routing_table
+from magnoliacrank.gateway import sample_tap
+from magnoliacrank.gateway import service_runtime
+from magnoliacrank.model import configuration
+from magnoliacrank.model import ids
+from magnoliacrank.model import server
+from magnoliacrank.policy import allowance_meter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Sequence
+    import random
+
+    from magnoliacrank.model import crew
+    from magnoliacrank.model import instance
+    from magnoliacrank.policy import sample
+    from magnoliacrank.policy import slot_messages
+    from magnoliacrank.state import move_table
+
+_EMPTY = configuration.Configuration()
+
+
+class ServiceDirectory:
+    """Keeps one runtime for each service of the configuration in force.
+
+    Args:
+        own: This instance.
+        rng: Source of randomness for sampling.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        own: instance.EntryInstance,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.samples = sample_tap.SampleTap()
+        """Where the outcomes of all dispatches go."""
+        self._own = own
+        self._rng = rng
+        self._clock = clock
+        self._lists = _EMPTY
+        self._member_share = 1.0
+        self._table = routing_table.RoutingTable(_EMPTY)
+        self._allowances = allowance_meter.AllowanceMeter()
+        self._services: dict[
+            ids.ServiceName, service_runtime.ServiceRuntime
+        ] = {}
+        self._servers: Sequence[server.BackendServer] = ()
+        self._closing: set[asyncio.Task[None]] = set()
+
+    @property
+    def table(self) -> routing_table.RoutingTable:
+        """Services and routes in force."""
+        return self._table
+
+    @property
+    def lists(self) -> configuration.Configuration:
+        """Configuration in force."""
+        return self._lists
+
+    @property
+    def services(self) -> Collection[service_runtime.ServiceRuntime]:
+        """All runtimes."""
+        return self._services.values()
+
+    @property
+    def servers(self) -> Sequence[server.BackendServer]:
+        """Backend servers as listed by the platform."""
+        return self._servers
+
+    def find(
+        self, name: ids.ServiceName
+    ) -> service_runtime.ServiceRuntime | None:
+        """Returns the runtime of a service, or None."""
+        return self._services.get(name)
+
+    def servers_of(
+        self, name: ids.ServiceName
+    ) -> tuple[server.BackendServer, ...]:
+        """Returns the listed backend servers of a service."""
+        return tuple(one for one in self._servers if one.service == name)
+
+    def set_configuration(self, lists: configuration.Configuration) -> None:
+        """Puts a configuration into force."""
+        self._lists = lists
+        self._table = routing_table.RoutingTable(lists)
+        planned = {
+            service.name for plan in lists.plans for service in plan.services
+        }
+        for name in planned - set(self._services):
+            self._add(name)
+        for name in set(self._services) - planned:
+            self._remove(name)
+        self.set_member_share(self._member_share)
+        self._apply_data_centres()
+
+    def on_shares(self, change: move_table.SharesChanged) -> None:
+        """Puts the shares of a service's versions into force."""
+        runtime = self._services.get(change.service)
+        if runtime is not None:
+            runtime.router.set_version_shares(change.routes)
+
+    def set_crew(self, record: crew.Crew, *, is_contiguous: bool) -> None:
+        """Puts a crew record into force.
+
+        Args:
+            record: The record.
+            is_contiguous: Whether the record before it was taken in too.
+        """
+        runtime = self._services.get(record.service)
+        if runtime is not None:
+            runtime.set_crew(record, is_contiguous=is_contiguous)
+
+    def set_servers(self, servers: Sequence[server.BackendServer]) -> None:
+        """Takes in the listed backend servers of all services."""
+        self._servers = servers
+        for name, runtime in self._services.items():
+            runtime.set_servers(self.servers_of(name))
+
+    def set_member_share(self, share: float) -> None:
+        """Takes in the part of each allowance that this instance grants.
+
+        Args:
+            share: From 0 to 1.
+        """
+        self._member_share = share
+        self._allowances.set_allowances(
+            self._lists.allowances, share, self._clock()
+        )
+
+    def on_sign(self, sign: sample.ServerSign) -> None:
+        """Takes in what another instance learned of a backend server."""
+        now_s = self._clock()
+        for runtime in self._services.values():
+            if sign.server_id in runtime.router.server_ids:
+                runtime.router.on_sign(sign, now_s)
+
+    def tick(self) -> list[slot_messages.Outgoing]:
+        """Does what is due in all services; returns messages to send."""
+        outgoing: list[slot_messages.Outgoing] = []
+        for runtime in self._services.values():
+            outgoing += runtime.tick()
+        return outgoing
+
+    async def close(self) -> None:
+        """Closes all connections to backend servers."""
+        for name in list(self._services):
+            self._remove(name)
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
+    def _add(self, name: ids.ServiceName) -> None:
+        runtime = service_runtime.ServiceRuntime(
+            name,
+            self._own,
+            self._allowances,
+            self.samples,
+            self._rng,
+            self._clock,
+        )
+        runtime.set_servers(self.servers_of(name))
+        self._services[name] = runtime
+
+    def _remove(self, name: ids.ServiceName) -> None:
+        task = asyncio.ensure_future(self._services.pop(name).close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _apply_data_centres(self) -> None:
+        for name, runtime in self._services.items():
+            found = self._lists.find_service(name)
+            assert found is not None
+            known = {one.data_centre for one in self._servers}
+            known |= set(self._lists.data_centres)
+            out = frozenset(
+                data_centre
+                for data_centre in known
+                if not self._lists.is_in(data_centre)
+                or data_centre not in found[1].data_centres
+            )
+            runtime.router.set_data_centres_out(out)
--- a/packages/model/src/magnoliacrank/model/crew.py
+++ b/packages/model/src/magnoliacrank/model/crew.py
@@ -42,3 +42,6 @@
 
     shares: Mapping[ids.ServerId, Mapping[ids.InstanceId, int]]
     """Slots of each backend server by owner; they sum to its slots."""
+
+    based_on: int = -1
+    """Number of the crew that it replaced; -1 for a service's first."""
--- a/packages/state/src/magnoliacrank/state/fold.py
+++ b/packages/state/src/magnoliacrank/state/fold.py
@@ -116,7 +116,13 @@
     number = -1 if current is None else current.number
     if record.based_on != number:
         return state
-    fixed = crew.Crew(record.service, offset, record.members, record.shares)
+    fixed = crew.Crew(
+        service=record.service,
+        number=offset,
+        members=record.members,
+        shares=record.shares,
+        based_on=record.based_on,
+    )
     return attrs.evolve(state, crews={**state.crews, record.service: fixed})
 
 
--- a/packages/state/src/magnoliacrank/state/log_follower.py
+++ b/packages/state/src/magnoliacrank/state/log_follower.py
@@ -58,6 +58,7 @@
         self._scan_offset: ids.LogOffset | None = None
         self._skipped_count = 0
         self._log_heard_s: float | None = None
+        self._log_current_s: float | None = None
         self._claims_from: ids.LogOffset | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -81,6 +82,11 @@
         """Time of the log's last answer on the given clock, or None."""
         return self._log_heard_s
 
+    @property
+    def log_current_s(self) -> float | None:
+        """Time at which the newest read was sent that reached the log's end."""
+        return self._log_current_s
+
     @property
     def claims_from(self) -> ids.LogOffset | None:
         """Offset from which on every claim was told, or None."""
@@ -181,6 +187,7 @@
             offset = self._scan_offset
             if offset is None:
                 offset = self._state.next_offset
+            asked_s = self._clock()
             try:
                 page = await self._log.read(
                     offset, self._page_records, self._long_poll_s
@@ -190,7 +197,10 @@
                 await asyncio.sleep(self._retry_delay_s)
                 continue
             self._log_heard_s = self._clock()
-            if not self._on_page(page):
+            is_read_on = self._on_page(page)
+            if self._state.next_offset >= page.end_offset:
+                self._log_current_s = asked_s
+            if not is_read_on:
                 await asyncio.sleep(self._retry_delay_s)
 
     def _on_log_unavailable(
