--- a/packages/gateway/src/magnoliacrank/gateway/caller_connection.py
+++ b/packages/gateway/src/magnoliacrank/gateway/caller_connection.py
@@ -228,14 +228,14 @@
 
     def _parse(self, data: bytes) -> None:
         try:
-            messages, upgraded, _ = self._request_parser.feed_data(data)
+            messages, _, _ = self._request_parser.feed_data(data)
         except http_exceptions.HttpProcessingError as error:
             self._on_malformed(error)
             return
         if messages:
             message, payload = messages[0]
             self._head_bytes += len(data)
-            self._on_head(message, payload, is_upgrade=upgraded)
+            self._on_head(message, payload)
         elif self._exchange is None:
             self._on_partial_head(data)
         else:
@@ -261,8 +261,6 @@
         self,
         message: http_parser.RawRequestMessage,
         payload: streams.StreamReader,
-        *,
-        is_upgrade: bool,
     ) -> None:
         limits = self._limits
         status = head_rules.refusal_status(message, limits)
@@ -275,7 +273,7 @@
         if status is not None:
             self._refuse(status, _BAD_REQUEST)
             return
-        self._is_closing = message.should_close or is_upgrade
+        self._is_closing = message.should_close or message.upgrade
         exchange = inbound_exchange.InboundExchange(
             self, message, payload, time.monotonic()
         )
