--- a/packages/gateway/src/magnoliacrank/gateway/server_pool.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_pool.py
@@ -146,7 +146,14 @@
 
         Returns:
             The answer, to be released, or why there is none.
+
+        Raises:
+            framing.HeaderInjectionError: A header holds a line end.
         """
+        if isinstance(body, bytes):
+            data = head.encode(len(body)) + body
+        else:
+            data = head.encode(body.body_length)
         timeout_s = deadline_s - time.monotonic()
         connection = self._take_idle(needs_fresh=needs_fresh)
         if connection is None:
@@ -158,7 +165,7 @@
         if timeout_s <= 0:
             self._give_back(connection)
             return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
-        return await self._run(connection, head, body, timeout_s)
+        return await self._run(connection, head.method, data, body, timeout_s)
 
     async def open_extra(
         self, timeout_s: float
@@ -200,17 +207,14 @@
     async def _run(
         self,
         connection: server_connection.ServerConnection,
-        head: outbound_head.OutboundHead,
+        method: str,
+        data: bytes,
         body: bodies.BodySource | bytes,
         timeout_s: float,
     ) -> answers.Answer | ExchangeFailure:
-        if isinstance(body, bytes):
-            data = head.encode(len(body)) + body
-        else:
-            data = head.encode(body.body_length)
         waiter = connection.send(
             data,
-            is_head_request=head.method == hdrs.METH_HEAD,
+            is_head_request=method == hdrs.METH_HEAD,
             timeout_s=timeout_s,
         )
         self._silence.on_sent(connection)
--- a/packages/gateway/src/magnoliacrank/gateway/silence.py
+++ b/packages/gateway/src/magnoliacrank/gateway/silence.py
@@ -27,6 +27,7 @@
 FailureKind = exchange_failure.FailureKind
 
 _SMOOTHING = 0.1
+_CHECKS_PER_THRESHOLD = 2
 
 
 class WatchedPool(Protocol):
@@ -112,7 +113,9 @@
 
     def _arm(self) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self.threshold_s, self._on_timer)
+        self._timer = loop.call_later(
+            self.threshold_s / _CHECKS_PER_THRESHOLD, self._on_timer
+        )
 
     def _on_timer(self) -> None:
         self._timer = None
