--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,12 @@
 imports: $(STAMP)
 	$(BIN)/lint-imports
 
+bench: bench-decisions
+
+.PHONY: bench-decisions
+bench-decisions: $(STAMP)
+	$(BIN)/python -m bench.decisions
+
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
 	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
