--- a/packages/gateway/src/magnoliacrank/gateway/server_pool.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_pool.py
@@ -26,6 +26,7 @@
 FailureKind = exchange_failure.FailureKind
 ExchangeFailure = exchange_failure.ExchangeFailure
 
+_DRAIN_POLL_S = 0.05
 _NOT_RUN_VALUE = "1"
 _MIN_REFUSAL_STATUS = 400
 
@@ -96,9 +97,24 @@
         return self._busy
 
     async def start(self) -> None:
+        """Allows requests; connections open on demand."""
+        self.open()
+
+    def open(self) -> None:
         """Allows requests; connections open on demand."""
         self._is_open = True
 
+    async def drain(self) -> None:
+        """Closes the connections once the requests under way have ended."""
+        self._is_open = False
+        for connection in list(self._idle):
+            connection.retire(FailureKind.CONNECTION_LOST)
+        while self._busy:
+            await asyncio.sleep(_DRAIN_POLL_S)
+            for connection in list(self._idle):
+                connection.retire(FailureKind.CONNECTION_LOST)
+        await self.close()
+
     async def close(self) -> None:
         """Closes all connections; requests under way fail."""
         self._is_open = False
@@ -146,7 +162,14 @@
 
         Returns:
             The answer, to be released, or why there is none.
+
+        Raises:
+            framing.HeaderInjectionError: A header holds a line end.
         """
+        if isinstance(body, bytes):
+            data = head.encode(len(body)) + body
+        else:
+            data = head.encode(body.body_length)
         timeout_s = deadline_s - time.monotonic()
         connection = self._take_idle(needs_fresh=needs_fresh)
         if connection is None:
@@ -158,7 +181,7 @@
         if timeout_s <= 0:
             self._give_back(connection)
             return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
-        return await self._run(connection, head, body, timeout_s)
+        return await self._run(connection, head.method, data, body, timeout_s)
 
     async def open_extra(
         self, timeout_s: float
@@ -200,17 +223,14 @@
     async def _run(
         self,
         connection: server_connection.ServerConnection,
-        head: outbound_head.OutboundHead,
+        method: str,
+        data: bytes,
         body: bodies.BodySource | bytes,
         timeout_s: float,
     ) -> answers.Answer | ExchangeFailure:
-        if isinstance(body, bytes):
-            data = head.encode(len(body)) + body
-        else:
-            data = head.encode(body.body_length)
         waiter = connection.send(
             data,
-            is_head_request=head.method == hdrs.METH_HEAD,
+            is_head_request=method == hdrs.METH_HEAD,
             timeout_s=timeout_s,
         )
         self._silence.on_sent(connection)
--- a/packages/state/src/magnoliacrank/state/fold.py
+++ b/packages/state/src/magnoliacrank/state/fold.py
@@ -117,11 +117,11 @@
     if record.based_on != number:
         return state
     fixed = crew.Crew(
-        record.service,
-        offset,
-        record.members,
-        record.shares,
-        ids.LogOffset(record.based_on),
+        service=record.service,
+        number=offset,
+        members=record.members,
+        shares=record.shares,
+        based_on=record.based_on,
     )
     return attrs.evolve(state, crews={**state.crews, record.service: fixed})
 
