--- a/packages/gateway/src/magnoliacrank/gateway/service_directory.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_directory.py
@@ -110,16 +110,15 @@
         if runtime is not None:
             runtime.router.set_version_shares(change.routes)
 
-    def set_crew(self, record: crew.Crew, *, is_contiguous: bool) -> None:
+    def set_crew(self, record: crew.Crew) -> None:
         """Puts a crew record into force.
 
         Args:
             record: The record.
-            is_contiguous: Whether the record before it was taken in too.
         """
         runtime = self._services.get(record.service)
         if runtime is not None:
-            runtime.set_crew(record, is_contiguous=is_contiguous)
+            runtime.set_crew(record)
 
     def set_servers(self, servers: Sequence[server.BackendServer]) -> None:
         """Takes in the listed backend servers of all services."""
--- a/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
@@ -136,18 +136,17 @@
             self._close_pool(server_id)
         self._refresh(now_s)
 
-    def set_crew(self, record: crew_model.Crew, *, is_contiguous: bool) -> None:
+    def set_crew(self, record: crew_model.Crew) -> None:
         """Takes in a crew record; an older one is ignored.
 
         Args:
             record: The record.
-            is_contiguous: Whether the record before it was taken in too.
         """
         if self._crew is not None and record.number <= self._crew.number:
             return
         now_s = self._clock()
         self._crew = record
-        self._ledger.set_crew(record, now_s, is_contiguous=is_contiguous)
+        self._ledger.set_crew(record, now_s)
         self._refresh(now_s)
 
     def tick(self) -> list[slot_messages.Outgoing]:
--- a/packages/gateway/src/magnoliacrank/gateway/state_link.py
+++ b/packages/gateway/src/magnoliacrank/gateway/state_link.py
@@ -16,8 +16,6 @@
     from magnoliacrank.model import crew
     from magnoliacrank.state import log_follower
 
-_NO_CREW = -1
-
 
 class StateLink:
     """Takes the messages of the log follower.
@@ -66,5 +64,4 @@
         runtime = self._services.find(record.service)
         if runtime is None:
             return
-        known = _NO_CREW if runtime.crew is None else runtime.crew.number
-        runtime.set_crew(record, is_contiguous=record.based_on == known)
+        runtime.set_crew(record)
