Concentrate a crew's slots and return loans sooner

Two owners in each data centre left 4 slots to a member; loans stuck to the borrower for 0.25 s after use, so every member had lent its own slots and borrowed others. Ruled out: shorter loans (loan_s 0.2) help no more than a sooner return. An idle loan goes back after 0.03 s, a refusing lender is asked again after 0.05 s, at most one request every 0.005 s.

--- a/bench/decisions/balancer.py
+++ b/bench/decisions/balancer.py
@@ -77,6 +77,10 @@
         """Asks a backend server for its load report."""
         ...
 
+    def renew(self, entry: int, server_name: str) -> None:
+        """Replaces the idle connections to a server by fresh ones."""
+        ...
+
     def tell(self, entry: int, to: int, deliver: Callable[[], None]) -> None:
         """Sends a message to another entry instance."""
         ...
--- a/bench/decisions/runner.py
+++ b/bench/decisions/runner.py
@@ -7,6 +7,7 @@
 
 from bench.decisions import baselines
 from bench.decisions import fake_server
+from bench.decisions import member_slots
 from bench.decisions import product
 from bench.decisions import scenario
 from bench.decisions import world
@@ -23,6 +24,7 @@
 _PEAK_S = (2.0, 3.0)
 _SETTLE_S = 0.5
 _CRASH_PERIOD_S = 0.2
+_IDLE_CONNECTIONS = 4
 
 _Fake = fake_server.FakeServer
 _Act = Callable[[_Fake, scenario.Step], None]
@@ -91,7 +93,13 @@
         centres = self._size.data_centres
         if policy == PRODUCT:
             count = _CREW_PER_DATA_CENTRE * len(centres)
-            make = product.make_product()
+            record = member_slots.make_record(
+                self._size,
+                [fake.listed for fake in self._world.servers.values()],
+                count,
+            )
+            make = product.make_product(record)
+            self._world.preferred = member_slots.preferred(record)
         else:
             count = self._size.entries
             make = self._baseline_maker(policy)
@@ -172,4 +180,6 @@
             for name in sorted(self._world.servers)
         ]
         count = round(step.share * len(pairs))
-        self._world.silent.update(self._world.rng.sample(pairs, count))
+        chosen = self._world.rng.sample(pairs, count)
+        for pair in chosen:
+            self._world.silent[pair] = _IDLE_CONNECTIONS
--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -29,6 +29,7 @@
 _CONFIGURATION_S = (0.2, 1.0)
 _LISTING_S = (0.5, 1.5)
 _CALLER_MOVES_S = 2.0
+_STALE_CALLERS = 0.1
 
 _IDEMPOTENT = request.RequestClass.IDEMPOTENT
 _CONFIRM = request.RequestClass.AT_MOST_ONCE
@@ -47,7 +48,8 @@
         self.servers: dict[str, fake_server.FakeServer] = {}
         self.balancers: list[balancer.Balancer] = []
         self.entries: list[str] = []
-        self.silent: set[tuple[int, str]] = set()
+        self.preferred: frozenset[int] = frozenset()
+        self.silent: dict[tuple[int, str], int] = {}
         self._number = 0
         self._out_s: dict[str, float] = {}
         self._leaving_s: dict[str, float] = {}
@@ -184,9 +186,23 @@
             max(0.0, call.deadline_s - sent_s),
             lambda: end(balancer.Attempt(None, call.deadline_s - sent_s, None)),
         )
-        if (entry, server_name) not in self.silent:
+        if not self._meets_silence(entry, server_name):
             self.time.after(delay_s, lambda: fake.receive(work))
 
+    def _meets_silence(self, entry: int, server_name: str) -> bool:
+        """Uses up one silent connection, if there is one.
+
+        It is busy until the request times out and is closed then.
+        """
+        left = self.silent.get((entry, server_name), 0)
+        if left:
+            self.silent[entry, server_name] = left - 1
+        return left > 0
+
+    def renew(self, entry: int, server_name: str) -> None:
+        """Replaces the idle connections to a server by fresh ones."""
+        self.silent.pop((entry, server_name), None)
+
     def probe(
         self,
         entry: int,
@@ -256,7 +272,9 @@
                 rest = [c for c in self.size.data_centres if c != centre]
                 centre = self.rng.choice(rest)
         own = [i for i, c in enumerate(self.entries) if c == centre]
-        return self.rng.choice(own)
+        preferred = [i for i in own if i in self.preferred]
+        is_stale = self.rng.random() < _STALE_CALLERS
+        return self.rng.choice(own if is_stale else preferred or own)
 
     def _detour_s(self, centre: str, entry: int) -> float:
         if self.entries[entry] == centre:
--- a/packages/policy/src/magnoliacrank/policy/hedge.py
+++ b/packages/policy/src/magnoliacrank/policy/hedge.py
@@ -47,9 +47,14 @@
             return None
         return self._latencies[route].value
 
+    @property
+    def can_spend(self) -> bool:
+        """Whether the budget covers one hedge."""
+        return self._tokens >= 1.0
+
     def try_spend(self) -> bool:
         """Takes the budget for one hedge; False when it is used up."""
-        if self._tokens < 1.0:
+        if not self.can_spend:
             return False
         self._tokens -= 1.0
         return True
--- a/packages/policy/src/magnoliacrank/policy/probe_budget.py
+++ b/packages/policy/src/magnoliacrank/policy/probe_budget.py
@@ -79,6 +79,15 @@
         self._spent += len(chosen)
         return tuple(need.server_id for need in chosen)
 
+    def take_one(self, now_s: float) -> bool:
+        """Spends one probe that another part asks for, if there is one."""
+        self._refill(now_s)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        self._spent += 1
+        return True
+
     def _refill(self, now_s: float) -> None:
         earned = (now_s - self._refilled_s) * self._rate_per_s
         self._tokens = min(_MAX_TOKENS, self._tokens + earned)
--- a/packages/policy/src/magnoliacrank/policy/ramp.py
+++ b/packages/policy/src/magnoliacrank/policy/ramp.py
@@ -24,6 +24,7 @@
         "_answers",
         "_changed_s",
         "_cut_s",
+        "_is_cold",
         "_limit",
         "_reported",
         "_slots",
@@ -33,6 +34,7 @@
         self._slots = slots
         self._limit = min(_COLD_LIMIT, slots)
         self._reported = slots
+        self._is_cold = True
         self._answers = 0
         self._changed_s = now_s
         self._cut_s = -math.inf
@@ -47,15 +49,25 @@
         """Whether the limit has reached the server's slots."""
         return self._limit >= self._slots
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the limit has not reached the slots since the start."""
+        return self._is_cold
+
     def restart(self, now_s: float) -> None:
         """Falls back to the cold limit."""
         self._set(min(_COLD_LIMIT, self._slots), now_s)
+        self._is_cold = True
         self._reported = self._slots
 
     def restore(self, limit: int, now_s: float) -> None:
         """Sets a limit that is known to be borne."""
         self._set(max(1, min(limit, self._slots)), now_s)
 
+    def end_cold(self) -> None:
+        """Takes in that the server is warm, whatever its limit."""
+        self._is_cold = False
+
     def on_reported_limit(self, limit: int | None) -> None:
         """Takes in the concurrency that the server asks for itself.
 
@@ -63,12 +75,11 @@
         """
         self._reported = self._slots if limit is None else max(1, limit)
 
-    def on_served(self, ratio: float, now_s: float, *, is_cold: bool) -> None:
+    def on_served(self, ratio: float, now_s: float) -> None:
         """Takes in a served answer.
 
         Args:
             ratio: Its latency over the usual one.
-            is_cold: Whether the server still warms up after its start.
             now_s: Monotonic time in seconds.
         """
         if self.is_full:
@@ -79,7 +90,7 @@
         self._answers += 1
         if self._answers < self._limit * _ANSWERS_PER_SLOT:
             return
-        step_s = _COLD_STEP_S if is_cold else _RECOVERY_STEP_S
+        step_s = _COLD_STEP_S if self._is_cold else _RECOVERY_STEP_S
         if now_s - self._changed_s < step_s:
             return
         raised = max(self._limit + 1, int(self._limit * _GROWTH))
@@ -103,3 +114,5 @@
         self._limit = limit
         self._answers = 0
         self._changed_s = now_s
+        if self.is_full:
+            self._is_cold = False
--- a/packages/policy/src/magnoliacrank/policy/router.py
+++ b/packages/policy/src/magnoliacrank/policy/router.py
@@ -15,6 +15,7 @@
 from magnoliacrank.policy import route_latency
 from magnoliacrank.policy import sample
 from magnoliacrank.policy import server_state
+from magnoliacrank.policy import slot_messages
 from magnoliacrank.policy import version_shares
 
 if TYPE_CHECKING:
@@ -239,6 +240,48 @@
         state = self._states.get(server_id)
         return 0 if state is None else state.limit
 
+    def is_in_flight(self, dispatch: sample.Dispatch) -> bool:
+        """Returns whether a dispatch has not ended."""
+        state = self._states.get(dispatch.server_id)
+        return state is not None and dispatch in state.in_flight
+
+    def incarnation(self, server_id: ids.ServerId) -> int:
+        """Returns the start number of a server, or 0 when unknown."""
+        state = self._states.get(server_id)
+        return 0 if state is None else state.incarnation
+
+    def is_cold(self, server_id: ids.ServerId) -> bool:
+        """Returns whether one member alone may send to a server.
+
+        It started lately, or was never seen warm, in whatever state it is.
+        """
+        state = self._states.get(server_id)
+        return state is None or state.is_cold
+
+    def free_slots(self, now_s: float) -> int:
+        """Returns how many requests could be dispatched now."""
+        return sum(
+            max(0, self._slots.free(state.server.server_id, now_s))
+            for state in self._candidates()
+        )
+
+    def loan_wishes(
+        self, waiting: int, now_s: float
+    ) -> tuple[slot_messages.SlotCount, ...]:
+        """Returns the slots to ask other members for.
+
+        Args:
+            waiting: Requests that wait for a slot.
+            now_s: Monotonic time in seconds.
+        """
+        return tuple(
+            slot_messages.SlotCount(
+                state.server.server_id, min(waiting, state.limit)
+            )
+            for state in self._candidates()
+            if state.slowness(now_s) < self._options.spill_cost
+        )
+
     def life(self, server_id: ids.ServerId) -> life.Life:
         """Returns the state of a server in its life cycle."""
         state = self._states.get(server_id)
@@ -327,6 +370,12 @@
         ejected = sum(s.life is life.Life.SUSPECT for s in states)
         return ejected <= self._options.panic_share * len(states)
 
+    def _candidates(self) -> Iterable[server_state.ServerState]:
+        for group in self._groups.values():
+            for state in (*group.local, *group.remote):
+                if state.life in life.TAKES_WORK:
+                    yield state
+
     def _reason(self, excluded: Collection[ids.ServerId]) -> verdict.Reason:
         for group in self._groups.values():
             for state in (*group.local, *group.remote):
--- a/packages/policy/src/magnoliacrank/policy/server_state.py
+++ b/packages/policy/src/magnoliacrank/policy/server_state.py
@@ -84,7 +84,7 @@
     @property
     def is_cold(self) -> bool:
         """Whether it started lately or was never seen warm."""
-        return self.life in (life.Life.COLD, life.Life.WARMING)
+        return self._ramp.is_cold
 
     @property
     def incarnation(self) -> int:
@@ -175,7 +175,7 @@
         self._move(life.Event.ANSWERED)
         if self._alarm.add(ratio):
             self._ramp.on_slow(now_s)
-        self._ramp.on_served(ratio, now_s, is_cold=self.is_cold)
+        self._ramp.on_served(ratio, now_s)
         self._settle()
 
     def on_shed(self, now_s: float) -> None:
@@ -252,6 +252,8 @@
             self.on_restart(now_s)
         if self.is_cold:
             self._ramp.restore(sign.limit, now_s)
+            if not sign.is_cold:
+                self._ramp.end_cold()
             self._settle()
         self._told = self.sign()
 
@@ -306,7 +308,8 @@
             return
         if before[0] == incarnation:
             self._ramp.restore(before[1], now_s)
-            self._move(life.Event.RAMPED)
+            self._ramp.end_cold()
+            self._settle()
 
     def _add_ratio(self, ratio: float, now_s: float) -> None:
         faded = math.exp((self._ratio_s - now_s) / _RATIO_MEMORY_S)
@@ -330,7 +333,7 @@
         self._settle()
 
     def _settle(self) -> None:
-        if self._ramp.is_full:
+        if not self._ramp.is_cold:
             self._outlier.settle()
             self._move(life.Event.RAMPED)
 
--- a/packages/policy/src/magnoliacrank/policy/slot_timing.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_timing.py
@@ -24,13 +24,13 @@
     check_interval_s: float = 0.5
     """Seconds between checks of the crew record with its members."""
 
-    idle_loan_s: float = 0.25
+    idle_loan_s: float = 0.03
     """Seconds without a dispatch after which a loan is returned."""
 
-    ask_interval_s: float = 0.02
+    ask_interval_s: float = 0.005
     """Least seconds between two requests for loans."""
 
-    refusal_s: float = 0.25
+    refusal_s: float = 0.05
     """Seconds for which a member that had nothing to lend isn't asked."""
 
     @property
