Refuse waiting work that the spread of service times would make late

Cause: at twice the capacity 15% of the admitted answers came late, since the wait left only the mean service time before the deadline. Change: the wait leaves the mean and four mean deviations, both smoothed more.

--- a/packages/policy/src/magnoliacrank/policy/admission.py
+++ b/packages/policy/src/magnoliacrank/policy/admission.py
@@ -15,7 +15,8 @@
 
 _WAITING_PER_SLOT = 8
 _LEAST_WAITING = 16
-_SMOOTHING = 0.1
+_SMOOTHING = 0.03
+_DEVIATIONS = 4.0
 _FIRST_SERVICE_S = 0.005
 
 _PRIORITY = {
@@ -82,6 +83,7 @@
         self._capacity = 0
         self._in_flight = 0
         self._service_s = _FIRST_SERVICE_S
+        self._deviation_s = 0.0
         self._dropped: list[Dropped] = []
 
     @property
@@ -170,7 +172,9 @@
         place.started_s = None
         self._in_flight -= 1
         self._allowances.on_finished(place.request.customer)
-        self._service_s += _SMOOTHING * (took_s - self._service_s)
+        error_s = took_s - self._service_s
+        self._service_s += _SMOOTHING * error_s
+        self._deviation_s += _SMOOTHING * (abs(error_s) - self._deviation_s)
 
     def _can_start_now(
         self, request: request_model.Request, priority: int
@@ -218,7 +222,8 @@
             return True
         ahead = self._ahead(place, priority)
         wait_s = ahead * self._service_s / max(1, self._capacity)
-        return now_s + wait_s + self._service_s <= place.request.deadline_s
+        needed_s = self._service_s + _DEVIATIONS * self._deviation_s
+        return now_s + wait_s + needed_s <= place.request.deadline_s
 
     def _ahead(self, place: fair_queue.Place, priority: int) -> int:
         """Returns how many requests start before a new one, about."""
