--- /dev/null
+++ b/bench/capacity/policy_slopes.py
@@ -0,0 +1,326 @@
+"""Prints bytes and processor time per key, slot, loan and ticket.
+
+Run it with `python -m bench.capacity.policy_slopes`.
+"""
+
+from __future__ import annotations
+
+import gc
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from magnoliacrank.model import crew as crew_model
+from magnoliacrank.model import ids
+from magnoliacrank.model import request as request_model
+from magnoliacrank.model import verdict
+from magnoliacrank.policy import admission
+from magnoliacrank.policy import allowance_meter
+from magnoliacrank.policy import claim_book
+from magnoliacrank.policy import crash_messages
+from magnoliacrank.policy import crash_suspects
+from magnoliacrank.policy import key_entry
+from magnoliacrank.policy import key_table
+from magnoliacrank.policy import slot_hold
+from magnoliacrank.policy import slot_ledger
+from magnoliacrank.policy import slot_messages
+from magnoliacrank.policy import slot_timing
+from magnoliacrank.policy import tickets
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_COUNT = 20_000
+_KEYS_PER_TICKET = 20
+_MEMBERS = 6
+_SERVERS = 40
+_SLOTS = 4
+_SERVICE = ids.ServiceName("refill")
+_CUSTOMER = ids.CustomerId("cirelis")
+_BODY = b"x" * 512
+
+
+@attrs.frozen
+class Slope:
+    """What one more of a thing costs."""
+
+    name: str
+    """The thing or operation."""
+
+    value: float
+    """Cost."""
+
+    unit: str
+    """Unit of the cost."""
+
+
+def _bytes_each(fill: Callable[[], object], count: int) -> float:
+    """Returns the bytes that each of the things kept takes."""
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = fill()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return (after - before) / count
+
+
+def _micros_each(run: Callable[[], None], count: int) -> float:
+    """Returns the processor time of each operation in microseconds."""
+    gc.collect()
+    start_s = time.process_time()
+    run()
+    return (time.process_time() - start_s) / count * 1e6
+
+
+def _mint() -> tickets.TicketMint:
+    """Returns a mint."""
+    return tickets.TicketMint(
+        ids.InstanceId("e1"), ids.Incarnation(1), bytes(32)
+    )
+
+
+def _key(token: str, number: int) -> key_entry.ScopedKey:
+    """Returns a key as it comes with a request."""
+    return key_entry.ScopedKey(
+        _CUSTOMER, _SERVICE, token, ids.RequestKey(f"key-{number:032d}")
+    )
+
+
+def _tokens() -> list[str]:
+    """Returns the token of each key; each request brings its own copy."""
+    mint = _mint()
+    return [
+        mint.issue(_SERVICE, float(number // _KEYS_PER_TICKET))
+        for number in range(_COUNT)
+    ]
+
+
+def _fill_table(
+    answer: key_entry.KeptAnswer | None,
+) -> key_table.KeyTable:
+    """Returns a table of finished keys."""
+    table = key_table.KeyTable(mint_s=1e9, horizon_s=1e9)
+    for number, token in enumerate(_tokens()):
+        key = _key(token, number)
+        table.begin(key, number.to_bytes(16, "big"), 0.0, 0.0)
+        kept = answer
+        if answer is not None:
+            kept = attrs.evolve(answer, body=bytes(bytearray(answer.body)))
+        table.finish(key, verdict.DONE, kept)
+    return table
+
+
+def _key_slopes() -> list[Slope]:
+    """Returns the slopes of ticketed and plain keys."""
+    answer = key_entry.KeptAnswer(200, (("Content-Type", "text/plain"),), _BODY)
+    keys = [_key(token, n) for n, token in enumerate(_tokens())]
+    table = key_table.KeyTable(mint_s=1e9, horizon_s=1e9)
+
+    def first() -> None:
+        for key in keys:
+            table.begin(key, b"digest", 0.0, 0.0)
+            table.finish(key, verdict.DONE, answer)
+
+    def repeat() -> None:
+        for key in keys:
+            table.begin(key, b"digest", 0.0, 0.0)
+
+    def claims() -> object:
+        book = claim_book.ClaimBook(1e9)
+        owner = slot_messages.Owner(ids.InstanceId("e1"), ids.Incarnation(1))
+        for number in range(_COUNT):
+            key = _key("", number)
+            claim = claim_book.Claim(
+                ids.LogOffset(number), key, number.to_bytes(16, "big"), owner
+            )
+            book.add(claim, 0.0)
+        return book
+
+    return [
+        Slope(
+            "key kept, no answer",
+            _bytes_each(lambda: _fill_table(None), _COUNT),
+            "B",
+        ),
+        Slope(
+            "key kept, answer of 512 B",
+            _bytes_each(lambda: _fill_table(answer), _COUNT),
+            "B",
+        ),
+        Slope("first request of a key", _micros_each(first, _COUNT), "us"),
+        Slope("repeat of a key", _micros_each(repeat, _COUNT), "us"),
+        Slope("claim kept", _bytes_each(claims, _COUNT), "B"),
+    ]
+
+
+def _ticket_slopes() -> list[Slope]:
+    """Returns the slopes of tickets."""
+    mint = _mint()
+    tokens = [mint.issue(_SERVICE, float(n)) for n in range(2_000)]
+
+    def issue() -> None:
+        for number in range(2_000):
+            mint.issue(_SERVICE, float(number))
+
+    def check() -> None:
+        for token in tokens:
+            mint.check(token, _SERVICE)
+
+    return [
+        Slope("ticket issued", _micros_each(issue, 2_000), "us"),
+        Slope("ticket checked first", _micros_each(check, 2_000), "us"),
+        Slope("ticket checked again", _micros_each(check, 2_000), "us"),
+        Slope("ticket", float(len(tokens[-1])), "B"),
+    ]
+
+
+def _crew() -> crew_model.Crew:
+    """Returns a crew with the slots dealt out in turn."""
+    names = [ids.InstanceId(f"e{n}") for n in range(_MEMBERS)]
+    shares = {}
+    for server in range(_SERVERS):
+        counts = dict.fromkeys(names, 0)
+        for slot in range(_SLOTS):
+            counts[names[(server * _SLOTS + slot) % _MEMBERS]] += 1
+        shares[ids.ServerId(f"s{server}")] = counts
+    members = tuple(
+        crew_model.CrewMember(name, ids.Incarnation(1), ids.DataCentre("dc"))
+        for name in names
+    )
+    return crew_model.Crew(_SERVICE, ids.LogOffset(0), members, shares)
+
+
+def _ledger(name: str) -> slot_ledger.SlotLedger:
+    """Returns a ledger with its share of warm servers."""
+    ledger = slot_ledger.SlotLedger(
+        ids.InstanceId(name),
+        ids.Incarnation(1),
+        slot_timing.SlotTiming(ask_interval_s=0.0, refusal_s=0.0),
+    )
+    crew = _crew()
+    ledger.set_crew(crew, 0.0)
+    for server_id in crew.shares:
+        ledger.set_limit(server_id, _SLOTS, is_cold=False, now_s=0.0)
+    ledger.heard_log(0.0)
+    return ledger
+
+
+def _slot_slopes() -> list[Slope]:
+    """Returns the slopes of own slots."""
+    ledger = _ledger("e0")
+    server_id = ids.ServerId("s0")
+
+    def use() -> None:
+        for _ in range(_COUNT):
+            hold = ledger.take(server_id, 1.0)
+            assert isinstance(hold, slot_hold.SlotHold)
+            ledger.release(hold, 1.0)
+
+    def look() -> None:
+        for _ in range(_COUNT):
+            ledger.free(server_id, 1.0)
+
+    def tick() -> None:
+        for _ in range(2_000):
+            ledger.tick(1.0)
+
+    return [
+        Slope(
+            "backend server in a ledger",
+            _bytes_each(lambda: _ledger("e0"), _SERVERS),
+            "B",
+        ),
+        Slope("slot taken and released", _micros_each(use, _COUNT), "us"),
+        Slope("free slots looked up", _micros_each(look, _COUNT), "us"),
+        Slope("tick of a quiet ledger", _micros_each(tick, 2_000), "us"),
+    ]
+
+
+def _loan_slopes() -> list[Slope]:
+    """Returns the slopes of loans, both sides together."""
+    lender, borrower = _ledger("e0"), _ledger("e1")
+    wanted = (slot_messages.SlotCount(ids.ServerId("s0"), 1),)
+    size_bytes = 0
+
+    def cycle() -> None:
+        nonlocal size_bytes
+        for step in range(2_000):
+            now_s = step * 0.5
+            for each in (lender, borrower):
+                each.heard_log(now_s)
+            size_bytes = 0
+            sent = borrower.ask_loans(wanted, now_s)
+            while sent:
+                outgoing = sent.pop()
+                size_bytes += len(msgspec.msgpack.encode(outgoing.message))
+                to_lender = outgoing.to == "e0"
+                target = lender if to_lender else borrower
+                sent += target.on_message(outgoing.message, now_s)
+            for outgoing in borrower.tick(now_s + 0.3):
+                size_bytes += len(msgspec.msgpack.encode(outgoing.message))
+                lender.on_message(outgoing.message, now_s + 0.3)
+
+    micros = _micros_each(cycle, 2_000)
+    return [
+        Slope("loan asked, granted and returned", micros, "us"),
+        Slope("messages of a loan, MessagePack", float(size_bytes), "B"),
+    ]
+
+
+def _admission_slopes() -> list[Slope]:
+    """Returns the slopes of admission and suspects."""
+    queue = admission.Admission(allowance_meter.AllowanceMeter())
+    queue.set_capacity(_SLOTS)
+    request = request_model.Request(
+        _CUSTOMER, _SERVICE, "r", request_model.RequestClass.IDEMPOTENT, 9.0
+    )
+    suspects = crash_suspects.CrashSuspects(ids.InstanceId("e0"), settle_s=1.0)
+    print_of = crash_messages.Fingerprint(_CUSTOMER, _SERVICE, b"d")
+
+    def offer() -> None:
+        for _ in range(_COUNT):
+            admitted = queue.offer(request, 1.0)
+            assert isinstance(admitted, admission.Admitted)
+            queue.on_finished(admitted.place, 1.0)
+
+    def decide() -> None:
+        for _ in range(_COUNT):
+            suspects.decide(print_of, 1.0)
+
+    return [
+        Slope(
+            "request admitted and finished", _micros_each(offer, _COUNT), "us"
+        ),
+        Slope(
+            "request checked for suspects", _micros_each(decide, _COUNT), "us"
+        ),
+    ]
+
+
+def measure() -> list[Slope]:
+    """Returns all slopes of this part."""
+    return [
+        *_key_slopes(),
+        *_ticket_slopes(),
+        *_slot_slopes(),
+        *_loan_slopes(),
+        *_admission_slopes(),
+    ]
+
+
+def main() -> None:
+    """Prints the slopes as a table."""
+    print("| what | cost |")
+    print("| --- | --- |")
+    for slope in measure():
+        print(f"| {slope.name} | {slope.value:.1f} {slope.unit} |")
+
+
+if __name__ == "__main__":
+    main()
