Leave stuck servers alone while waiting costs less, hold back on a reset

Cause: at 60 % load the only free slots are often on a server that is stuck (silent link, slowdown), and a waiting call was sent there. A restarted server got up to 4 requests at once before a second reset gave it away. A member in a data centre that is out kept its calls and borrowed every slot. Change: choose() takes how long the call has waited and uses a server 3 times slower than usual only if that has cost as much time. One reset holds a server back until an answer shows the same incarnation. New scenario: the sole owner of a data centre's slots is lost.

--- a/bench/decisions/balancer.py
+++ b/bench/decisions/balancer.py
@@ -77,12 +77,29 @@
         """Asks a backend server for its load report."""
         ...
 
+    def prefer(self, entries: frozenset[int]) -> None:
+        """Tells callers which entry instances to use."""
+        ...
+
     def renew(self, entry: int, server_name: str) -> None:
         """Replaces the idle connections to a server by fresh ones."""
         ...
 
-    def tell(self, entry: int, to: int, deliver: Callable[[], None]) -> None:
-        """Sends a message to another entry instance."""
+    def tell(
+        self,
+        entry: int,
+        to: int,
+        deliver: Callable[[], None],
+        refused: Callable[[], None] | None = None,
+    ) -> None:
+        """Sends a message to another entry instance.
+
+        Args:
+            entry: Sender.
+            to: Receiver.
+            deliver: Called at the receiver.
+            refused: Called at the sender when the receiver is lost.
+        """
         ...
 
     def finish(self, call: Call, result: Result) -> None:
@@ -105,6 +122,10 @@
         """Takes in a call; it must finish it in the end."""
         ...
 
+    def on_entry_lost(self, entry: int) -> None:
+        """Takes in that an entry instance is lost, after its detection."""
+        ...
+
 
 @attrs.frozen
 class Setting:
--- a/bench/decisions/baselines.py
+++ b/bench/decisions/baselines.py
@@ -145,6 +145,9 @@
         """Sends the call."""
         self._attempt(call, ())
 
+    def on_entry_lost(self, entry: int) -> None:
+        """Ignored: entries know nothing of one another."""
+
     def _update(self) -> None:
         self._names = [
             s.server_id for s in self._servers if s.data_centre not in self._out
--- a/bench/decisions/runner.py
+++ b/bench/decisions/runner.py
@@ -138,11 +138,16 @@
             self._crash_request(step)
         elif step.fault is scenario.Fault.SILENT:
             self._silence(step)
+        elif step.fault is scenario.Fault.ENTRY_LOST:
+            self._world.lose_entry(self._busiest_entry())
         elif step.fault is scenario.Fault.LEAVE:
             self._world.list_leaving(names)
         else:
             self._act(step, names)
 
+    def _busiest_entry(self) -> int:
+        return min(self._world.preferred, default=0)
+
     def _pick(self, step: scenario.Step) -> list[str]:
         names = sorted(self._world.servers)
         count = max(1, round(step.share * len(names)))
--- a/bench/decisions/scenario.py
+++ b/bench/decisions/scenario.py
@@ -22,6 +22,7 @@
     REPORT_BUSY = "report-busy"
     CRASH_REQUEST = "crash-request"
     SILENT = "silent"
+    ENTRY_LOST = "entry-lost"
 
 
 @attrs.frozen
@@ -72,6 +73,7 @@
     Scenario("overload", load=2.0),
     Scenario("crash request", (Step(Fault.CRASH_REQUEST, until_s=5.0),)),
     Scenario("silent links", (Step(Fault.SILENT, share=0.2),)),
+    Scenario("entry lost", (Step(Fault.ENTRY_LOST, at_s=1.0),), load=0.5),
     Scenario("out and cold", (_OUT, _COLD), load=0.4),
     Scenario("out and slow", (_OUT, _SLOW), load=0.4),
     Scenario("step and cold", (_COLD,), load=0.4, peak=0.85),
--- a/packages/policy/src/magnoliacrank/policy/router.py
+++ b/packages/policy/src/magnoliacrank/policy/router.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 from typing import Protocol
 
 import attrs
 
+from magnoliacrank.model import ids
 from magnoliacrank.model import request
 from magnoliacrank.model import server
 from magnoliacrank.model import verdict
@@ -19,13 +21,11 @@
 from magnoliacrank.policy import version_shares
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
     from collections.abc import Sequence
     import random
 
-    from magnoliacrank.model import ids
 
 _PEERS_WEIGHT = 0.02
 _NOTHING: frozenset[ids.DataCentre] = frozenset()
@@ -49,10 +49,24 @@
     spill_cost: float = 4.0
     """Cost of the best server at home from which others are compared."""
 
+    slow_ratio: float = 3.0
+    """Slowness from which a request waits for another server instead."""
+
     panic_share: float = 0.5
     """Share of ejected servers from which ejection is no longer obeyed."""
 
 
+@attrs.frozen
+class _Need:
+    """What one request needs of a server."""
+
+    route: str
+    request_class: request.RequestClass
+    excluded: Collection[ids.ServerId]
+    now_s: float
+    waited_s: float
+
+
 @attrs.define
 class _Group:
     """Servers of one version: those in the own data centre and the others."""
@@ -133,20 +147,25 @@
         request_class: request.RequestClass,
         excluded: Collection[ids.ServerId],
         now_s: float,
+        *,
+        waited_s: float = 0.0,
     ) -> ids.ServerId | sample.NoServer:
         """Returns the server for a request, which has a free slot.
 
+        A slot on a server that is far slower than usual is left alone while
+        waiting for another one is likely to take less time.
+
         Args:
             route: Name of the route.
             request_class: Class of the route.
             excluded: Servers that this request must not go to, such as those
                 that failed it before.
             now_s: Monotonic time in seconds.
+            waited_s: Seconds that the request has waited for a slot.
         """
+        need = _Need(route, request_class, excluded, now_s, waited_s)
         for group in self._order(route, is_retry=bool(excluded)):
-            state = self._choose_in(
-                group, route, request_class, excluded, now_s
-            )
+            state = self._choose_in(group, need)
             if state is not None:
                 return state.server.server_id
         return sample.NoServer(self._reason(excluded))
@@ -263,6 +282,7 @@
         return sum(
             max(0, self._slots.free(state.server.server_id, now_s))
             for state in self._candidates()
+            if state.slowness(now_s) < self._options.slow_ratio
         )
 
     def loan_wishes(
@@ -279,7 +299,7 @@
                 state.server.server_id, min(waiting, state.limit)
             )
             for state in self._candidates()
-            if state.slowness(now_s) < self._options.spill_cost
+            if state.slowness(now_s) < self._options.slow_ratio
         )
 
     def life(self, server_id: ids.ServerId) -> life.Life:
@@ -295,48 +315,37 @@
         return [self._groups[v] for v in versions if v in self._groups]
 
     def _choose_in(
-        self,
-        group: _Group,
-        route: str,
-        request_class: request.RequestClass,
-        excluded: Collection[ids.ServerId],
-        now_s: float,
+        self, group: _Group, need: _Need
     ) -> server_state.ServerState | None:
-        if request_class is request.RequestClass.IDEMPOTENT:
-            trial = self._find_trial(group, excluded, now_s)
+        if need.request_class is request.RequestClass.IDEMPOTENT:
+            trial = self._find_trial(group, need)
             if trial is not None:
                 return trial
-        local, local_cost = self._cheapest(group.local, excluded, now_s)
+        local, local_cost = self._cheapest(group.local, need)
         if local is not None and local_cost < self._options.spill_cost:
             return local
-        remote, remote_cost = self._cheapest(group.remote, excluded, now_s)
+        remote, remote_cost = self._cheapest(group.remote, need)
         if local is None or remote is None:
             return local or remote
-        local_s = local_cost * self._expected_s(route, local)
-        remote_s = remote_cost * self._expected_s(route, remote)
+        local_s = local_cost * self._expected_s(need.route, local)
+        remote_s = remote_cost * self._expected_s(need.route, remote)
         return local if local_s <= remote_s else remote
 
     def _find_trial(
-        self,
-        group: _Group,
-        excluded: Collection[ids.ServerId],
-        now_s: float,
+        self, group: _Group, need: _Need
     ) -> server_state.ServerState | None:
         for state in group.local:
-            if not _is_due(state, now_s):
+            if not _is_due(state, need.now_s):
                 continue
             server_id = state.server.server_id
-            if server_id in excluded:
+            if server_id in need.excluded:
                 continue
-            if self._slots.free(server_id, now_s) > 0:
+            if self._slots.free(server_id, need.now_s) > 0:
                 return state
         return None
 
     def _cheapest(
-        self,
-        states: list[server_state.ServerState],
-        excluded: Collection[ids.ServerId],
-        now_s: float,
+        self, states: list[server_state.ServerState], need: _Need
     ) -> tuple[server_state.ServerState | None, float]:
         best = None
         best_cost = 0.0
@@ -346,11 +355,13 @@
             if obey and state.life is life.Life.SUSPECT:
                 continue
             server_id = state.server.server_id
-            if server_id in excluded:
+            if server_id in need.excluded:
                 continue
-            if self._slots.free(server_id, now_s) <= 0:
+            if self._slots.free(server_id, need.now_s) <= 0:
                 continue
-            cost = state.cost(now_s)
+            if self._is_too_slow(state, need):
+                continue
+            cost = state.cost(need.now_s)
             if best is None or cost < best_cost:
                 best, best_cost = state, cost
             seen += 1
@@ -358,6 +369,15 @@
                 break
         return best, best_cost
 
+    def _is_too_slow(
+        self, state: server_state.ServerState, need: _Need
+    ) -> bool:
+        slowness = state.slowness(need.now_s)
+        if slowness < self._options.slow_ratio:
+            return False
+        excess_s = (slowness - 1.0) * self._expected_s(need.route, state)
+        return excess_s > need.waited_s
+
     def _shuffled(
         self, states: list[server_state.ServerState]
     ) -> Iterable[server_state.ServerState]:
--- a/packages/policy/src/magnoliacrank/policy/server_state.py
+++ b/packages/policy/src/magnoliacrank/policy/server_state.py
@@ -20,8 +20,6 @@
 _RATIO_WEIGHT = 0.3
 _RATIO_MEMORY_S = 1.0
 _TRICKLE_S = 0.05
-_RESTART_WINDOW_S = 1.0
-_RESTART_BREAKS = 2
 _TRUSTED = 0.5
 _MIN_SUCCESS = 0.1
 _OUT_WEIGHT = 4.0
@@ -33,8 +31,6 @@
     __slots__ = (
         "_alarm",
         "_before",
-        "_break_s",
-        "_breaks",
         "_incarnation",
         "_is_down",
         "_load",
@@ -68,8 +64,6 @@
         self._ratio = 1.0
         self._ratio_s = now_s
         self._incarnation = 0
-        self._breaks = 0
-        self._break_s = -math.inf
         self._probed_s = now_s
         self._is_down = False
         self._alarm = slow_alarm.SlowAlarm()
@@ -202,14 +196,10 @@
     def on_break(self, peers_share: float, now_s: float) -> None:
         """Takes in a connection that broke under a request.
 
-        Several within a short time are taken for a restart.
+        It may be the first sign of a restart, so the server is held back
+        until an answer shows the same incarnation.
         """
-        if now_s - self._break_s > _RESTART_WINDOW_S:
-            self._breaks = 0
-        self._break_s = now_s
-        self._breaks += 1
-        if self._breaks >= _RESTART_BREAKS:
-            self.on_restart(now_s)
+        self.on_restart(now_s)
         self._fail(peers_share, now_s)
 
     def on_refused_connection(self, now_s: float) -> None:
