Measure what a hop adds, beside the direct path in the same run

Change: `make bench-hop` sends seeded open-loop load over all ways in turn: direct, a hop on aiohttp's ordinary server and client, the gateway's two sides, and a relay of bytes as the floor. Latency counts from when a call was due; the processor time is that of the hop's own process.

--- a/Makefile
+++ b/Makefile
@@ -42,12 +42,15 @@
 imports: $(STAMP)
 	$(BIN)/lint-imports
 
-bench: bench-decisions
+bench: bench-decisions bench-hop
 
-.PHONY: bench-decisions
+.PHONY: bench-decisions bench-hop
 bench-decisions: $(STAMP)
 	$(BIN)/python -m bench.decisions
 
+bench-hop: $(STAMP)
+	$(BIN)/python -m bench.hop
+
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
 	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
--- /dev/null
+++ b/bench/hop/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what one hop through an entry instance adds to a call."""
--- a/packages/gateway/tests/test_server_pool.py
+++ b/packages/gateway/tests/test_server_pool.py
@@ -304,11 +304,13 @@
 
 async def test_cancelled_exchange_ends_its_connection():
     async with _scripted([_HANG]) as (pool, server):
-        task = asyncio.create_task(_get(pool))
+        task = asyncio.create_task(_get(pool, seconds=60.0))
         await _until(lambda: server.heads)
         task.cancel()
-        await _until(lambda: server.closed == [0])
+        with pytest.raises(asyncio.CancelledError):
+            await task
         assert pool.open_count == 0
+        await _until(lambda: server.closed == [0])
 
 
 async def test_refused_connection_did_not_run():
