--- a/packages/policy/src/magnoliacrank/policy/router.py
+++ b/packages/policy/src/magnoliacrank/policy/router.py
@@ -11,9 +11,11 @@
 from magnoliacrank.model import server
 from magnoliacrank.model import verdict
 from magnoliacrank.policy import life
+from magnoliacrank.policy import probe_budget
 from magnoliacrank.policy import route_latency
 from magnoliacrank.policy import sample
 from magnoliacrank.policy import server_state
+from magnoliacrank.policy import slot_messages
 from magnoliacrank.policy import version_shares
 
 if TYPE_CHECKING:
@@ -82,6 +84,7 @@
         ] = {}
         self._failure_share = 0.0
         self._signs: dict[ids.ServerId, sample.ServerSign] = {}
+        self._owned: frozenset[ids.ServerId] = frozenset()
 
     @property
     def server_ids(self) -> Collection[ids.ServerId]:
@@ -200,8 +203,21 @@
             self._on_kind(state, outcome, 1.0, now_s)
         elif outcome.report is not None:
             state.on_report(outcome.report, len(state.in_flight), now_s)
+            state.on_probe_answer(now_s)
         self._note_sign(state)
 
+    def set_owned(self, owned: Collection[ids.ServerId]) -> None:
+        """Takes in which servers this instance measures for all."""
+        self._owned = frozenset(owned)
+
+    def probe_needs(self, now_s: float) -> list[probe_budget.ProbeNeed]:
+        """Returns how much each owned server needs to be measured."""
+        return [
+            self._states[server_id].probe_need(now_s)
+            for server_id in self._owned
+            if server_id in self._states
+        ]
+
     def on_sign(self, sign: sample.ServerSign, now_s: float) -> None:
         """Takes in what another instance of the crew learned."""
         state = self._states.get(sign.server_id)
@@ -216,7 +232,7 @@
 
     def signs(self) -> tuple[sample.ServerSign, ...]:
         """Returns the sign of every server, for an instance that joins."""
-        return tuple(_sign_of(state) for state in self._states.values())
+        return tuple(state.sign() for state in self._states.values())
 
     def limit(self, server_id: ids.ServerId, now_s: float) -> int:
         """Returns the concurrency that a server bears over all instances."""
@@ -224,6 +240,48 @@
         state = self._states.get(server_id)
         return 0 if state is None else state.limit
 
+    def is_in_flight(self, dispatch: sample.Dispatch) -> bool:
+        """Returns whether a dispatch has not ended."""
+        state = self._states.get(dispatch.server_id)
+        return state is not None and dispatch in state.in_flight
+
+    def incarnation(self, server_id: ids.ServerId) -> int:
+        """Returns the start number of a server, or 0 when unknown."""
+        state = self._states.get(server_id)
+        return 0 if state is None else state.incarnation
+
+    def is_cold(self, server_id: ids.ServerId) -> bool:
+        """Returns whether one member alone may send to a server.
+
+        It started lately, or was never seen warm, in whatever state it is.
+        """
+        state = self._states.get(server_id)
+        return state is None or state.is_cold
+
+    def free_slots(self, now_s: float) -> int:
+        """Returns how many requests could be dispatched now."""
+        return sum(
+            max(0, self._slots.free(state.server.server_id, now_s))
+            for state in self._candidates()
+        )
+
+    def loan_wishes(
+        self, waiting: int, now_s: float
+    ) -> tuple[slot_messages.SlotCount, ...]:
+        """Returns the slots to ask other members for.
+
+        Args:
+            waiting: Requests that wait for a slot.
+            now_s: Monotonic time in seconds.
+        """
+        return tuple(
+            slot_messages.SlotCount(
+                state.server.server_id, min(waiting, state.limit)
+            )
+            for state in self._candidates()
+            if state.slowness(now_s) < self._options.spill_cost
+        )
+
     def life(self, server_id: ids.ServerId) -> life.Life:
         """Returns the state of a server in its life cycle."""
         state = self._states.get(server_id)
@@ -312,6 +370,12 @@
         ejected = sum(s.life is life.Life.SUSPECT for s in states)
         return ejected <= self._options.panic_share * len(states)
 
+    def _candidates(self) -> Iterable[server_state.ServerState]:
+        for group in self._groups.values():
+            for state in (*group.local, *group.remote):
+                if state.life in life.TAKES_WORK:
+                    yield state
+
     def _reason(self, excluded: Collection[ids.ServerId]) -> verdict.Reason:
         for group in self._groups.values():
             for state in (*group.local, *group.remote):
@@ -367,8 +431,9 @@
         self._failure_share += (target - self._failure_share) * _PEERS_WEIGHT
 
     def _note_sign(self, state: server_state.ServerState) -> None:
-        if state.life is not life.Life.READY:
-            self._signs[state.server.server_id] = _sign_of(state)
+        sign = state.take_news()
+        if sign is not None:
+            self._signs[sign.server_id] = sign
 
     def _expected_s(self, route: str, state: server_state.ServerState) -> float:
         return self._usual_of(route, state.server.data_centre).expected_s
@@ -405,9 +470,3 @@
     if state.life is life.Life.SUSPECT:
         return state.may_try(now_s)
     return state.wants_trickle(now_s)
-
-
-def _sign_of(state: server_state.ServerState) -> sample.ServerSign:
-    return sample.ServerSign(
-        state.server.server_id, state.incarnation, state.limit
-    )
