Lend beyond the own need only, and recall loans when short

Cause: a lender gave half of all it had free, to a borrower that asked for a slot of each server, and then refused everybody for a while once it was short itself; at even load loans did more harm than good. Change: a request names its servers and one sum; the lender keeps its decaying peak of need, counts missed slots as need and recalls the oldest loan.

--- a/bench/capacity/policy_slopes.py
+++ b/bench/capacity/policy_slopes.py
@@ -245,7 +245,7 @@
 def _loan_slopes() -> list[Slope]:
     """Returns the slopes of loans, both sides together."""
     lender, borrower = _ledger("e0"), _ledger("e1")
-    wanted = (slot_messages.SlotCount(ids.ServerId("s0"), 1),)
+    server_ids = (ids.ServerId("s0"),)
     size_bytes = 0
 
     def cycle() -> None:
@@ -255,7 +255,7 @@
             for each in (lender, borrower):
                 each.heard_log(now_s)
             size_bytes = 0
-            sent = borrower.ask_loans(wanted, now_s)
+            sent = borrower.ask_loans(server_ids, 1, now_s)
             while sent:
                 outgoing = sent.pop()
                 size_bytes += len(msgspec.msgpack.encode(outgoing.message))
--- a/bench/decisions/member_slots.py
+++ b/bench/decisions/member_slots.py
@@ -178,7 +178,10 @@
 
     def ask(self, wanted: tuple[slot_messages.SlotCount, ...]) -> None:
         """Asks other members for slots."""
-        self._send_all(self._ledger.ask_loans(wanted, self._time.now_s))
+        server_ids = [slots.server_id for slots in wanted]
+        most = sum(slots.count for slots in wanted)
+        now_s = self._time.now_s
+        self._send_all(self._ledger.ask_loans(server_ids, most, now_s))
 
     def tick(self) -> None:
         """Does what is due; the log is read all the time."""
--- a/packages/policy/src/magnoliacrank/policy/slot_account.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_account.py
@@ -116,6 +116,11 @@
             return True
         return self._in_use + self._lent_count > self._record_share
 
+    @property
+    def occupied(self) -> int:
+        """Slots that this member occupies, own and borrowed."""
+        return self._occupied()
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing is occupied, lent or borrowed."""
--- a/packages/policy/src/magnoliacrank/policy/slot_borrower.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_borrower.py
@@ -65,7 +65,8 @@
         self,
         service: ids.ServiceName,
         lenders: Sequence[ids.InstanceId],
-        wanted: tuple[slot_messages.SlotCount, ...],
+        server_ids: tuple[ids.ServerId, ...],
+        most: int,
         now_s: float,
     ) -> list[slot_messages.Outgoing]:
         """Asks one member for slots, unless it asked just now.
@@ -73,7 +74,8 @@
         Args:
             service: Service of the crew.
             lenders: Members that own slots of the backend servers.
-            wanted: Most slots to borrow, by backend server.
+            server_ids: Backend servers whose slots are of use.
+            most: Most slots to borrow in sum.
             now_s: Monotonic time in seconds.
         """
         if now_s < self._next_ask_s:
@@ -87,7 +89,7 @@
         self._asked_s[loan_id] = now_s
         # An unanswered request counts as a refusal meanwhile.
         self._refused_until_s[lender] = now_s + self._timing.refusal_s
-        request = slot_messages.LoanRequest(service, loan_id, wanted)
+        request = slot_messages.LoanRequest(service, loan_id, server_ids, most)
         return [slot_messages.Outgoing(lender, request)]
 
     def on_loan_grant(
@@ -109,6 +111,17 @@
         self._accept(message, end_s, now_s)
         return []
 
+    def on_loan_recall(
+        self, message: slot_messages.LoanRecall, now_s: float
+    ) -> list[slot_messages.Outgoing]:
+        """Ends a loan early and returns what is not occupied."""
+        loan = self._loans.get(message.loan_id)
+        if loan is None:
+            return []
+        for part in loan.parts:
+            part.end_s = min(part.end_s, now_s)
+        return self.tick(message.service, now_s)
+
     def tick(
         self, service: ids.ServiceName, now_s: float
     ) -> list[slot_messages.Outgoing]:
--- a/packages/policy/src/magnoliacrank/policy/slot_ledger.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_ledger.py
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Sequence
+    from collections.abc import Iterable
 
     from magnoliacrank.model import crew as crew_model
     from magnoliacrank.model import ids
@@ -61,6 +61,7 @@
             slot_messages.LoanRequest: self.on_loan_request,
             slot_messages.LoanGrant: self.on_loan_grant,
             slot_messages.LoanReturn: self.on_loan_return,
+            slot_messages.LoanRecall: self.on_loan_recall,
             slot_messages.CrewCheck: self.on_crew_check,
             slot_messages.CrewState: self.on_crew_state,
         }
@@ -148,7 +149,7 @@
             return hold
         reason = self._why_not(account, is_confirmed=is_confirmed)
         if reason is slot_hold.NoSlotReason.BUSY:
-            self._lender.note_short(now_s)
+            self._lender.note_short()
         return slot_hold.NoSlot(reason)
 
     def release(self, hold: slot_hold.SlotHold, now_s: float) -> None:
@@ -173,7 +174,7 @@
         self._accounts[hold.server_id].abandon(hold, until_s)
 
     def tick(self, now_s: float) -> list[slot_messages.Outgoing]:
-        """Does what is due; call it a few times a second.
+        """Does what is due; call it some fifty times a second.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -186,16 +187,20 @@
         shares = self._view.shares
         if shares is None:
             return []
-        returns = self._borrower.tick(shares.service, now_s)
-        return [*returns, *self._view.checks(now_s)]
+        return [
+            *self._borrower.tick(shares.service, now_s),
+            *self._lender.tick(shares.service, now_s),
+            *self._view.checks(now_s),
+        ]
 
     def ask_loans(
-        self, wanted: Sequence[slot_messages.SlotCount], now_s: float
+        self, server_ids: Iterable[ids.ServerId], most: int, now_s: float
     ) -> list[slot_messages.Outgoing]:
         """Asks a member for slots; call it when requests wait.
 
         Args:
-            wanted: Most slots to borrow, by backend server.
+            server_ids: Backend servers that could take the requests.
+            most: Most slots to borrow in sum.
             now_s: Monotonic time in seconds.
 
         Returns:
@@ -205,16 +210,16 @@
         if shares is None or not self._view.is_member:
             return []
         useful = tuple(
-            slots for slots in wanted if self._can_borrow(slots.server_id)
+            server_id for server_id in server_ids if self._can_borrow(server_id)
         )
         lenders = {
             owner.instance_id
-            for slots in useful
-            for owner in shares.owners(slots.server_id)
+            for server_id in useful
+            for owner in shares.owners(server_id)
         }
         lenders.discard(self._own.instance_id)
         return self._borrower.ask(
-            shares.service, sorted(lenders), useful, now_s
+            shares.service, sorted(lenders), useful, most, now_s
         )
 
     def on_message(
@@ -254,6 +259,12 @@
         self._lender.on_loan_return(message)
         return []
 
+    def on_loan_recall(
+        self, message: slot_messages.LoanRecall, now_s: float
+    ) -> list[slot_messages.Outgoing]:
+        """Returns a loan early."""
+        return self._borrower.on_loan_recall(message, now_s)
+
     def on_crew_check(
         self, message: slot_messages.CrewCheck, now_s: float
     ) -> list[slot_messages.Outgoing]:
--- a/packages/policy/src/magnoliacrank/policy/slot_messages.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_messages.py
@@ -50,8 +50,11 @@
     loan_id: LoanId
     """Name of the loan."""
 
-    wanted: tuple[SlotCount, ...]
-    """Most slots that the borrower takes, by backend server."""
+    server_ids: tuple[ids.ServerId, ...]
+    """Backend servers whose slots the borrower can use."""
+
+    most: int
+    """Most slots that it takes in sum."""
 
 
 @attrs.frozen
@@ -92,6 +95,17 @@
     """Slots still occupied; a backend server left out is returned whole."""
 
 
+@attrs.frozen
+class LoanRecall:
+    """Asks a borrower to return a loan before its end."""
+
+    service: ids.ServiceName
+    """Service of the crew."""
+
+    loan_id: LoanId
+    """Name of the loan."""
+
+
 @attrs.frozen
 class CrewCheck:
     """Asks a member which crew record it knows."""
@@ -132,7 +146,9 @@
     """Whether no owner under an older record can use its old share."""
 
 
-Message = LoanRequest | LoanGrant | LoanReturn | CrewCheck | CrewState
+Message = (
+    LoanRequest | LoanGrant | LoanReturn | LoanRecall | CrewCheck | CrewState
+)
 """Any message between slot ledgers."""
 
 
--- a/packages/policy/src/magnoliacrank/policy/slot_timing.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_timing.py
@@ -33,6 +33,9 @@
     refusal_s: float = 0.05
     """Seconds for which a member that had nothing to lend isn't asked."""
 
+    need_half_life_s: float = 0.03
+    """Seconds in which half of a past peak of the own need is forgotten."""
+
     @property
     def takeover_s(self) -> float:
         """Seconds from the last confirmation to the end of all work."""
--- a/packages/policy/tests/test_overload.py
+++ b/packages/policy/tests/test_overload.py
@@ -6,10 +6,11 @@
 import heapq
 import random
 
+import pytest
+
 from magnoliacrank.model import request as request_model
 from magnoliacrank.policy import admission
 from magnoliacrank.policy import allowance_meter
-import pytest
 
 _SLOTS = 20
 _SERVICE_S = 0.05
--- a/packages/policy/tests/test_slot_histories.py
+++ b/packages/policy/tests/test_slot_histories.py
@@ -21,7 +21,6 @@
 from magnoliacrank.policy import slot_account
 from magnoliacrank.policy import slot_hold
 from magnoliacrank.policy import slot_ledger
-from magnoliacrank.policy import slot_messages
 from magnoliacrank.policy import slot_timing
 
 _NAMES = ("a", "b", "c", "d")
@@ -171,10 +170,7 @@
     def ask(self, each):
         if each.is_paused:
             return
-        wanted = tuple(
-            slot_messages.SlotCount(server_id, 2) for server_id in _SLOTS
-        )
-        self.send(each.ledger.ask_loans(wanted, self.clock(each)))
+        self.send(each.ledger.ask_loans(_SLOTS, 3, self.clock(each)))
 
     def dispatch(self, each, server_id):
         if each.is_paused:
--- a/packages/policy/tests/test_slot_loans.py
+++ b/packages/policy/tests/test_slot_loans.py
@@ -11,7 +11,6 @@
 from magnoliacrank.policy import slot_timing
 
 _TIMING = slot_timing.SlotTiming(longest_work_s=5.0)
-_WANTED = (slot_messages.SlotCount("s1", 2),)
 _CREW = crew_model.Crew(
     "refill",
     0,
@@ -32,7 +31,7 @@
 
 
 def _granted(lender, borrower, now_s=0.0):
-    (request,) = borrower.ask_loans(_WANTED, now_s)
+    (request,) = borrower.ask_loans(["s1"], 2, now_s)
     (grant,) = lender.on_message(request.message, now_s)
     return request.message, grant.message
 
@@ -123,10 +122,11 @@
     [
         (lambda lender: None, 2),
         (lambda lender: lender.take("s1", 0.0), 2),
+        (lambda lender: [lender.take("s1", 0.0) for _ in range(2)], 2),
         (lambda lender: [lender.take("s1", 0.0) for _ in range(3)], 1),
         (lambda lender: [lender.take("s1", 0.0) for _ in range(5)], 0),
     ],
-    ids=["idle", "one-used", "three-used", "short"],
+    ids=["idle", "one-used", "two-used", "three-used", "short"],
 )
 def test_lender_lends_what_it_does_not_use(prepare, lent):
     lender, borrower = _pair()
@@ -135,13 +135,26 @@
     assert sum(slots.count for slots in grant.slots) == lent
 
 
+def test_recall_ends_a_loan_early():
+    lender, borrower = _pair()
+    _, grant = _granted(lender, borrower)
+    borrower.on_message(grant, 0.0)
+    while isinstance(lender.take("s1", 0.0), slot_hold.SlotHold):
+        pass
+    (recall,) = lender.tick(0.01)
+    (returned,) = borrower.on_message(recall.message, 0.02)
+    assert borrower.free("s1", 0.02) == 0
+    lender.on_message(returned.message, 0.03)
+    assert lender.free("s1", 0.03) == 2
+
+
 def test_ask_loans_twice_at_once_asks_once():
     _, borrower = _pair()
-    assert len(borrower.ask_loans(_WANTED, 0.0)) == 1
-    assert borrower.ask_loans(_WANTED, 0.001) == []
+    assert len(borrower.ask_loans(["s1"], 2, 0.0)) == 1
+    assert borrower.ask_loans(["s1"], 2, 0.001) == []
 
 
 def test_lender_unconfirmed_lends_nothing():
     lender, borrower = _pair()
-    (request,) = borrower.ask_loans(_WANTED, 0.0)
+    (request,) = borrower.ask_loans(["s1"], 2, 0.0)
     assert lender.on_message(request.message, _TIMING.silence_s) == []
