Pass requests on when an instance leaves a crew; estimate service by route

Cause: two faults under steady load. An instance whose data centre was taken out held no slots, and requests that waited there ran into their deadlines (24 of 27 resent reads, 3 refused confirmations). The time that requests waited then went into the estimate of the service time, above the deadline of reads, so that all were refused at once and nothing corrected the estimate. Ruled out: the router and connection pools; no refusal came from either. Change: requests that wait at an instance which is no member any more are passed on to a member; the owner of a key delegates its one dispatch. The estimate takes whole answers only, by route, and is not believed with nothing in flight. Relaying an answer is one piece of code for both.

--- a/packages/cli/src/magnoliacrank/cli/entry_parts.py
+++ b/packages/cli/src/magnoliacrank/cli/entry_parts.py
@@ -11,6 +11,7 @@
 import attrs
 
 from magnoliacrank.cli import listing_task
+from magnoliacrank.gateway import crew_forwarder
 from magnoliacrank.gateway import crew_keeper
 from magnoliacrank.gateway import crew_proposals
 from magnoliacrank.gateway import dispatcher
@@ -147,6 +148,7 @@
             keys=keys,
             dispatches=dispatcher.Dispatcher(clock),
             forwards=forwards,
+            crews=crew_forwarder.CrewForwarder(own, membership, forwards),
             peers=membership,
         ),
         is_ready=lambda: status.is_ready,
--- a/packages/cli/tests/test_entry_process.py
+++ b/packages/cli/tests/test_entry_process.py
@@ -65,3 +65,27 @@
     assert all(result.is_whole for result in results)
     ran = {run.server_id for run in world.journal.executions}
     assert not any(name.startswith("rennes") for name in ran)
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "request_class"),
+    [
+        ("GET", "/stops/1", request.RequestClass.IDEMPOTENT),
+        ("POST", "/refills/1", request.RequestClass.AT_MOST_ONCE),
+    ],
+)
+async def test_entry_of_departed_data_centre_passes_requests_on(
+    world, method, target, request_class
+):
+    one = _caller(world)
+    await one.start()
+    wanted = caller.Wanted(method, target, request_class)
+    first = await one.send(wanted)
+    world.states["rennes"] = "out"
+    await world.publish()
+    results = await asyncio.gather(*(one.send(wanted) for _ in range(20)))
+    await one.close()
+    assert first.outcome is verdict.Outcome.DONE
+    outcomes = {result.outcome for result in results}
+    assert outcomes == {verdict.Outcome.DONE}
+    assert not world.journal.doubled_keys()
--- a/packages/gateway/src/magnoliacrank/gateway/admission_gate.py
+++ b/packages/gateway/src/magnoliacrank/gateway/admission_gate.py
@@ -3,16 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from typing import TYPE_CHECKING
 
 from magnoliacrank.model import verdict
 from magnoliacrank.policy import admission
+from magnoliacrank.policy import fair_queue
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from magnoliacrank.model import request
-    from magnoliacrank.policy import fair_queue
+
+
+class Dismissed(enum.Enum):
+    """Sentinel: the request has to be carried by another instance."""
+
+    DISMISSED = enum.auto()
+
+
+Turn = fair_queue.Place | verdict.Verdict | Dismissed
+"""End of the wait: a place, the verdict of a refusal, or a dismissal."""
 
 
 class AdmissionGate:
@@ -30,7 +41,7 @@
         self._clock = clock
         self._turns: dict[
             fair_queue.Place,
-            asyncio.Future[fair_queue.Place | verdict.Verdict],
+            asyncio.Future[Turn],
         ] = {}
 
     @property
@@ -43,25 +54,21 @@
         """Requests that have their turn."""
         return self._decisions.in_flight
 
-    async def enter(
-        self, wanted: request.Request
-    ) -> fair_queue.Place | verdict.Verdict:
+    async def enter(self, wanted: request.Request) -> Turn:
         """Waits until a request may be dispatched.
 
         Args:
             wanted: The request.
 
         Returns:
-            Its place, to be left in the end, or the verdict of its refusal.
+            Its place, to be left in the end, or why it has none.
         """
         offer = self._decisions.offer(wanted, self._clock())
         if isinstance(offer, admission.Admitted):
             return offer.place
         if isinstance(offer, admission.Refused):
             return offer.verdict
-        turn: asyncio.Future[fair_queue.Place | verdict.Verdict] = (
-            asyncio.get_running_loop().create_future()
-        )
+        turn: asyncio.Future[Turn] = asyncio.get_running_loop().create_future()
         self._turns[offer.place] = turn
         self.pump()
         try:
@@ -70,11 +77,27 @@
             self._on_cancelled(offer.place, turn)
             raise
 
-    def leave(self, place: fair_queue.Place) -> None:
-        """Ends a place; the next request gets its turn."""
-        self._decisions.on_finished(place, self._clock())
+    def leave(
+        self, place: fair_queue.Place, service_s: float | None = None
+    ) -> None:
+        """Ends a place; the next request gets its turn.
+
+        Args:
+            place: The place.
+            service_s: Seconds that a backend server took for the whole
+                answer, or None when there was none.
+        """
+        self._decisions.on_finished(place, service_s)
         self.pump()
 
+    def dismiss(self) -> None:
+        """Ends the wait of all requests; other instances shall carry them."""
+        for place, turn in list(self._turns.items()):
+            self._decisions.cancel(place)
+            if not turn.done():
+                turn.set_result(Dismissed.DISMISSED)
+        self._turns.clear()
+
     def set_capacity(self, slots: int) -> None:
         """Changes how many requests may be in flight."""
         self._decisions.set_capacity(slots)
@@ -93,18 +116,18 @@
     def _resolve(
         self,
         place: fair_queue.Place,
-        result: fair_queue.Place | verdict.Verdict,
+        result: Turn,
     ) -> None:
         turn = self._turns.pop(place, None)
         if turn is not None and not turn.done():
             turn.set_result(result)
-        elif not isinstance(result, verdict.Verdict):
-            self._decisions.on_finished(place, self._clock())
+        elif isinstance(result, fair_queue.Place):
+            self._decisions.on_finished(place, None)
 
     def _on_cancelled(
         self,
         place: fair_queue.Place,
-        turn: asyncio.Future[fair_queue.Place | verdict.Verdict],
+        turn: asyncio.Future[Turn],
     ) -> None:
         self._turns.pop(place, None)
         if turn.done() and not turn.cancelled():
--- a/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
+++ b/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import attrs
 
+from magnoliacrank.gateway import admission_gate
 from magnoliacrank.gateway import answer as answers
+from magnoliacrank.gateway import answer_relay
 from magnoliacrank.gateway import body
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import framing
@@ -19,14 +22,12 @@
 from magnoliacrank.model import ids
 from magnoliacrank.model import request
 from magnoliacrank.model import verdict
-from magnoliacrank.policy import key_entry
 from magnoliacrank.policy import sample
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
-_KEPT_BODY_BYTES = 64 * 1024
 _WORK_AFTER_DEADLINE_S = 1.0
 _MS_PER_S = 1000.0
 _NO_RETRY = "no"
@@ -53,12 +54,21 @@
 )
 
 
-@attrs.frozen
-class Delivered:
-    """The whole answer went to the caller."""
+class NotHere(enum.Enum):
+    """Sentinel: this instance is no member of the service's crew."""
 
-    kept: key_entry.KeptAnswer | None
-    """The answer where it is small enough to be kept."""
+    NOT_HERE = enum.auto()
+
+
+NOT_HERE = NotHere.NOT_HERE
+"""The request was not dispatched; a member of the crew can carry it."""
+
+_Attempted = (
+    answer_relay.Delivered | verdict.Verdict | exchange_failure.ExchangeFailure
+)
+
+Result = answer_relay.Delivered | verdict.Verdict | NotHere
+"""What became of a request."""
 
 
 @attrs.define
@@ -69,7 +79,7 @@
     routed: request_reader.RoutedRequest
     content: bytes | body.BodySource
     excluded: set[ids.ServerId] = attrs.Factory(set)
-    reservation: service_runtime.Reservation | None = None
+    service_s: float | None = None
 
     @property
     def wanted(self) -> request.Request:
@@ -98,7 +108,7 @@
         routed: request_reader.RoutedRequest,
         runtime: service_runtime.ServiceRuntime,
         content: bytes | body.BodySource,
-    ) -> Delivered | verdict.Verdict:
+    ) -> Result:
         """Carries one request.
 
         Args:
@@ -108,25 +118,29 @@
             content: Its body, or where to read it from.
 
         Returns:
-            The answer that was delivered, or the verdict of the failure. The
-            exchange has an answer, or was cut, only in the first case or when
-            it was started.
+            What was delivered, the verdict of a failure, or that another
+            instance has to carry it. A failure leaves the exchange without an
+            answer unless one was begun, which is then cut.
         """
+        if not runtime.is_member:
+            return NOT_HERE
         place = await runtime.gate.enter(routed.request)
+        if isinstance(place, admission_gate.Dismissed):
+            return NOT_HERE
         if isinstance(place, verdict.Verdict):
             return place
         journey = _Journey(exchange, routed, content)
         try:
             return await self._run(journey, runtime)
         finally:
-            runtime.gate.leave(place)
+            runtime.gate.leave(place, journey.service_s)
 
     async def _run(
         self, journey: _Journey, runtime: service_runtime.ServiceRuntime
-    ) -> Delivered | verdict.Verdict:
+    ) -> Result:
         while True:
             reservation = await self._reserve(journey, runtime)
-            if isinstance(reservation, verdict.Verdict):
+            if not isinstance(reservation, service_runtime.Reservation):
                 return reservation
             result = await self._attempt(journey, runtime, reservation)
             if not isinstance(result, exchange_failure.ExchangeFailure):
@@ -137,12 +151,14 @@
 
     async def _reserve(
         self, journey: _Journey, runtime: service_runtime.ServiceRuntime
-    ) -> service_runtime.Reservation | verdict.Verdict:
+    ) -> service_runtime.Reservation | verdict.Verdict | NotHere:
         deadline_s = journey.wanted.deadline_s
         while True:
             found = runtime.reserve(journey.wanted, journey.excluded)
             if not isinstance(found, sample.NoServer):
                 return found
+            if not runtime.is_member:
+                return NOT_HERE
             left_s = deadline_s - self._clock()
             if found.reason is not verdict.Reason.OVERLOADED:
                 return verdict.not_run(found.reason)
@@ -155,7 +171,7 @@
         journey: _Journey,
         runtime: service_runtime.ServiceRuntime,
         reservation: service_runtime.Reservation,
-    ) -> Delivered | verdict.Verdict | exchange_failure.ExchangeFailure:
+    ) -> _Attempted:
         wanted = journey.wanted
         needs_fresh = wanted.request_class is request.RequestClass.AT_MOST_ONCE
         is_settled = False
@@ -170,9 +186,11 @@
                 is_settled = True
                 self._settle_failure(runtime, reservation, wanted, received)
                 return received
-            result = await self._deliver(journey, received)
+            result = await answer_relay.relay(
+                journey.exchange, received, _answer_fields(received)
+            )
             is_settled = True
-            self._settle_answer(runtime, reservation, wanted, received, result)
+            self._settle_answer(journey, runtime, reservation, received, result)
             return result
         finally:
             if not is_settled:
@@ -200,75 +218,24 @@
             method=exchange.method, target=exchange.target, headers=fields
         )
 
-    async def _deliver(
-        self, journey: _Journey, received: answers.Answer
-    ) -> Delivered | verdict.Verdict | exchange_failure.ExchangeFailure:
-        length = received.length
-        is_small = length is not None and length <= _KEPT_BODY_BYTES
-        if is_small or received.is_whole:
-            return await self._deliver_whole(journey, received)
-        return await self._deliver_stream(journey, received)
-
-    async def _deliver_whole(
-        self, journey: _Journey, received: answers.Answer
-    ) -> Delivered | exchange_failure.ExchangeFailure:
-        content = bytearray()
-        while True:
-            chunk = await received.read_chunk()
-            if isinstance(chunk, exchange_failure.ExchangeFailure):
-                return chunk
-            if not chunk:
-                break
-            content += chunk
-        fields = _answer_fields(received)
-        received.release()
-        whole = bytes(content)
-        length = received.length if not whole else len(whole)
-        journey.exchange.start_answer(received.status, fields, length or 0)
-        await journey.exchange.write(whole)
-        await journey.exchange.finish()
-        kept = None
-        if journey.wanted.key is not None and len(whole) <= _KEPT_BODY_BYTES:
-            kept = key_entry.KeptAnswer(received.status, tuple(fields), whole)
-        return Delivered(kept)
-
-    async def _deliver_stream(
-        self, journey: _Journey, received: answers.Answer
-    ) -> Delivered | verdict.Verdict:
-        exchange = journey.exchange
-        fields = _answer_fields(received)
-        exchange.start_answer(received.status, fields, received.length)
-        try:
-            while True:
-                chunk = await received.read_chunk()
-                if isinstance(chunk, exchange_failure.ExchangeFailure):
-                    exchange.abort()
-                    return chunk.verdict
-                if not chunk:
-                    break
-                await exchange.write(chunk)
-        finally:
-            received.release()
-        await exchange.finish()
-        return Delivered(None)
-
     def _settle_answer(
         self,
+        journey: _Journey,
         runtime: service_runtime.ServiceRuntime,
         reservation: service_runtime.Reservation,
-        wanted: request.Request,
         received: answers.Answer,
-        result: Delivered | verdict.Verdict | exchange_failure.ExchangeFailure,
+        result: _Attempted,
     ) -> None:
-        if isinstance(result, Delivered):
+        if isinstance(result, answer_relay.Delivered):
             latency_s = self._clock() - reservation.dispatch.started_s
+            journey.service_s = latency_s
             seen = outcome.answer_sample(received, latency_s)
             runtime.on_answer(reservation, seen)
             return
         runtime.on_abandoned(
             reservation,
             sample.FailureKind.TRUNCATED,
-            wanted.deadline_s + _WORK_AFTER_DEADLINE_S,
+            journey.wanted.deadline_s + _WORK_AFTER_DEADLINE_S,
         )
 
     def _settle_failure(
--- a/packages/gateway/src/magnoliacrank/gateway/entry_handler.py
+++ b/packages/gateway/src/magnoliacrank/gateway/entry_handler.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from magnoliacrank.gateway import crew_forwarder
+from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import request_carrier
 from magnoliacrank.model import headers
 from magnoliacrank.model import ids
@@ -126,8 +128,14 @@
     ) -> bool:
         """Lets the preferred instance answer, with a ticket of its own."""
         deadline_s = self._clock() + _FORWARD_TIMEOUT_S
-        failure = await self._forwards.forward(exchange, peer, b"", deadline_s)
-        return failure is None
+        received = await self._forwards.send(exchange, peer, b"", deadline_s)
+        if isinstance(received, exchange_failure.ExchangeFailure):
+            return False
+        if received.status != _STATUS_OK:
+            received.release()
+            return False
+        await crew_forwarder.relay_forwarded(exchange, received)
+        return True
 
     async def _answer_entries(
         self,
--- a/packages/gateway/src/magnoliacrank/gateway/forwarder.py
+++ b/packages/gateway/src/magnoliacrank/gateway/forwarder.py
@@ -4,26 +4,29 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import framing
 from magnoliacrank.gateway import outbound_head
 from magnoliacrank.gateway import pool_limits
 from magnoliacrank.gateway import server_pool
 from magnoliacrank.model import headers
-from magnoliacrank.model import verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from magnoliacrank.gateway import answer
     from magnoliacrank.gateway import body
+    from magnoliacrank.gateway import exchange_failure
     from magnoliacrank.gateway import inbound_exchange
     from magnoliacrank.model import ids
     from magnoliacrank.model import instance
 
 _MAX_CONNECTIONS = 64
 _MS_PER_S = 1000.0
+_HOST = "Host"
+_IS_DELEGATED = "1"
 _REPLACED = frozenset(
-    {headers.DEADLINE_MS.lower(), headers.FORWARDED_BY.lower()}
+    name.lower()
+    for name in (headers.DEADLINE_MS, headers.FORWARDED_BY, headers.DELEGATED)
 )
 _Address = tuple[str, int]
 
@@ -43,45 +46,33 @@
         self._clock = clock
         self._pools: dict[_Address, server_pool.ServerPool] = {}
 
-    async def forward(
+    async def send(
         self,
         exchange: inbound_exchange.InboundExchange,
         peer: instance.EntryInstance,
         content: bytes | body.BodySource,
         deadline_s: float,
-    ) -> verdict.Verdict | None:
-        """Passes a request on and its answer back, verdict included.
+        *,
+        is_delegated: bool = False,
+    ) -> answer.Answer | exchange_failure.ExchangeFailure:
+        """Passes a request on and waits for the head of the answer.
 
         Args:
             exchange: The caller's side.
             peer: The instance that shall carry the request.
             content: Body, or where to read it from.
             deadline_s: Monotonic time in seconds.
+            is_delegated: Whether the owner of the request's key asks for the
+                one dispatch of it.
 
         Returns:
-            None when an answer went to the caller, else the verdict.
+            The answer, to be released, or why there is none.
         """
-        pool = await self._pool_of(peer)
-        received = await pool.exchange(
-            self._head(exchange, pool, deadline_s), content, deadline_s
+        pool = self._pool_of(peer)
+        head = self._head(exchange, pool, deadline_s, is_delegated=is_delegated)
+        return await pool.exchange(
+            head, content, deadline_s, needs_fresh=is_delegated
         )
-        if isinstance(received, exchange_failure.ExchangeFailure):
-            return received.verdict
-        fields = framing.end_to_end(received.headers)
-        exchange.start_answer(received.status, fields, received.length)
-        try:
-            while True:
-                chunk = await received.read_chunk()
-                if isinstance(chunk, exchange_failure.ExchangeFailure):
-                    exchange.abort()
-                    return None
-                if not chunk:
-                    break
-                await exchange.write(chunk)
-        finally:
-            received.release()
-        await exchange.finish()
-        return None
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -94,24 +85,26 @@
         exchange: inbound_exchange.InboundExchange,
         pool: server_pool.ServerPool,
         deadline_s: float,
+        *,
+        is_delegated: bool,
     ) -> outbound_head.OutboundHead:
         fields = [
             pair
             for pair in framing.end_to_end(exchange.headers)
             if pair[0].lower() not in _REPLACED
         ]
-        if "Host" not in exchange.headers:
-            fields.append(("Host", pool.authority))
+        if _HOST not in exchange.headers:
+            fields.append((_HOST, pool.authority))
         left_ms = max(1, int((deadline_s - self._clock()) * _MS_PER_S))
         fields.append((headers.DEADLINE_MS, str(left_ms)))
         fields.append((headers.FORWARDED_BY, self._own_id))
+        if is_delegated:
+            fields.append((headers.DELEGATED, _IS_DELEGATED))
         return outbound_head.OutboundHead(
             method=exchange.method, target=exchange.target, headers=fields
         )
 
-    async def _pool_of(
-        self, peer: instance.EntryInstance
-    ) -> server_pool.ServerPool:
+    def _pool_of(self, peer: instance.EntryInstance) -> server_pool.ServerPool:
         address = (peer.host, peer.http_port)
         pool = self._pools.get(address)
         if pool is None:
@@ -121,5 +114,5 @@
                 pool_limits.PoolLimits(max_connections=_MAX_CONNECTIONS),
             )
             self._pools[address] = pool
-            await pool.start()
+            pool.open()
         return pool
--- a/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
+++ b/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
@@ -9,7 +9,9 @@
 import attrs
 
 from magnoliacrank.gateway import body as bodies
+from magnoliacrank.gateway import crew_forwarder
 from magnoliacrank.gateway import dispatcher
+from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import forwarder
 from magnoliacrank.gateway import key_guard
 from magnoliacrank.gateway import peer_directory
@@ -25,7 +27,6 @@
     from collections.abc import Callable
 
     from magnoliacrank.gateway import inbound_exchange
-    from magnoliacrank.gateway import service_runtime
     from magnoliacrank.model import instance
 
 _KEYED_BODY_BYTES = 1024 * 1024
@@ -48,7 +49,10 @@
     """Carries requests to backend servers."""
 
     forwards: forwarder.Forwarder
-    """Passes requests on to other instances."""
+    """Passes requests on to one other instance."""
+
+    crews: crew_forwarder.CrewForwarder
+    """Passes requests on to members of a crew."""
 
     peers: peer_directory.PeerDirectory
     """Live instances."""
@@ -94,32 +98,49 @@
         )
         if isinstance(routed, request_reader.InvalidRequest):
             return _unconsulted(exchange, routed.reason)
-        if routed.request.request_class is request.RequestClass.AT_MOST_ONCE:
-            if routed.route.key_mode is not request.KeyMode.TICKETED:
-                return verdict.not_run(verdict.Reason.CLAIM_UNAVAILABLE)
+        if headers.DELEGATED in exchange.headers or not _is_once(routed):
+            return await self._carry_unkeyed(exchange, routed)
+        if routed.route.key_mode is request.KeyMode.TICKETED:
             return await self._carry_ticketed(exchange, routed)
+        return verdict.not_run(verdict.Reason.CLAIM_UNAVAILABLE)
+
+    async def _carry_unkeyed(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        routed: request_reader.RoutedRequest,
+    ) -> verdict.Verdict | None:
         content = await _read_content(exchange)
         if isinstance(content, bodies.BodyFailure):
             return verdict.not_run(verdict.Reason.BAD_REQUEST)
-        return await self._carry_unkeyed(exchange, routed, content)
+        result = await self._run(exchange, routed, content)
+        return result if isinstance(result, verdict.Verdict) else None
 
-    async def _carry_unkeyed(
+    async def _run(
         self,
         exchange: inbound_exchange.InboundExchange,
         routed: request_reader.RoutedRequest,
         content: bytes | bodies.BodySource,
-    ) -> verdict.Verdict | None:
-        runtime = self._runtime_of(routed)
-        if runtime is None:
+        *,
+        is_delegated: bool = False,
+    ) -> crew_forwarder.Forwarded:
+        """Dispatches a request here, or lets a member of the crew do it."""
+        runtime = self._parts.services.find(routed.request.service)
+        if runtime is None or runtime.crew is None:
             return verdict.not_run(verdict.Reason.NOT_READY)
-        if not runtime.is_member and not _is_forwarded(exchange):
-            return await self._forward_to_crew(
-                exchange, routed, runtime, content
-            )
         result = await self._parts.dispatches.dispatch(
             exchange, routed, runtime, content
         )
-        return result if isinstance(result, verdict.Verdict) else None
+        if not isinstance(result, dispatcher.NotHere):
+            return result
+        if headers.FORWARDED_BY in exchange.headers:
+            return verdict.not_run(verdict.Reason.NOT_READY)
+        return await self._parts.crews.forward(
+            exchange,
+            runtime,
+            content,
+            routed.request.deadline_s,
+            is_delegated=is_delegated,
+        )
 
     async def _carry_ticketed(
         self,
@@ -155,15 +176,11 @@
             return decision.verdict
         if isinstance(decision, key_table.Repeat):
             return await _answer_repeat(exchange, decision)
-        runtime = self._runtime_of(routed)
         outcome = verdict.may_have_run(verdict.Reason.CONNECTION_LOST)
         kept = None
         try:
-            if runtime is None:
-                outcome = verdict.not_run(verdict.Reason.NOT_READY)
-                return outcome
-            result = await self._parts.dispatches.dispatch(
-                exchange, routed, runtime, content
+            result = await self._run(
+                exchange, routed, content, is_delegated=True
             )
             if isinstance(result, verdict.Verdict):
                 outcome = result
@@ -184,60 +201,16 @@
         peer = self._parts.peers.find(owner.ticket.instance_id)
         if peer is None or peer.incarnation != owner.ticket.incarnation:
             return verdict.may_have_run(verdict.Reason.OWNER_LOST)
-        if _is_forwarded(exchange):
+        if headers.FORWARDED_BY in exchange.headers:
             return verdict.may_have_run(verdict.Reason.OWNER_UNREACHABLE)
-        failure = await self._parts.forwards.forward(
+        received = await self._parts.forwards.send(
             exchange, peer, content, routed.request.deadline_s
         )
-        if failure is None:
-            return None
-        # An earlier copy of the request may have reached the owner.
-        return verdict.may_have_run(verdict.Reason.OWNER_UNREACHABLE)
-
-    async def _forward_to_crew(
-        self,
-        exchange: inbound_exchange.InboundExchange,
-        routed: request_reader.RoutedRequest,
-        runtime: service_runtime.ServiceRuntime,
-        content: bytes | bodies.BodySource,
-    ) -> verdict.Verdict | None:
-        result = verdict.not_run(verdict.Reason.NOT_READY)
-        for peer in self._crew_peers(runtime):
-            failure = await self._parts.forwards.forward(
-                exchange, peer, content, routed.request.deadline_s
-            )
-            if failure is None:
-                return None
-            result = failure
-            if failure.may_have_run or not isinstance(content, bytes):
-                break
-        return result
-
-    def _crew_peers(
-        self, runtime: service_runtime.ServiceRuntime
-    ) -> list[instance.EntryInstance]:
-        if runtime.crew is None:
-            return []
-        found = [
-            self._parts.peers.find(member.instance_id)
-            for member in runtime.crew.members
-        ]
-        others = [
-            peer
-            for peer in found
-            if peer is not None and peer.instance_id != self._own.instance_id
-        ]
-        own = self._own.data_centre
-        others.sort(key=lambda peer: peer.data_centre != own)
-        return others
-
-    def _runtime_of(
-        self, routed: request_reader.RoutedRequest
-    ) -> service_runtime.ServiceRuntime | None:
-        runtime = self._parts.services.find(routed.request.service)
-        if runtime is None or runtime.crew is None:
-            return None
-        return runtime
+        if isinstance(received, exchange_failure.ExchangeFailure):
+            # An earlier copy of the request may have reached the owner.
+            return verdict.may_have_run(verdict.Reason.OWNER_UNREACHABLE)
+        result = await crew_forwarder.relay_forwarded(exchange, received)
+        return result if isinstance(result, verdict.Verdict) else None
 
 
 async def answer_verdict(
@@ -292,8 +265,8 @@
     return whole.digest()
 
 
-def _is_forwarded(exchange: inbound_exchange.InboundExchange) -> bool:
-    return headers.FORWARDED_BY in exchange.headers
+def _is_once(routed: request_reader.RoutedRequest) -> bool:
+    return routed.request.request_class is request.RequestClass.AT_MOST_ONCE
 
 
 def _unconsulted(
--- a/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
@@ -149,6 +149,9 @@
         self._crew = record
         self._ledger.set_crew(record, now_s, is_contiguous=is_contiguous)
         self._refresh(now_s)
+        if not self.is_member:
+            self._gate.dismiss()
+            self._wake_all()
 
     def tick(self) -> list[slot_messages.Outgoing]:
         """Does what is due; called a few times a second.
@@ -277,6 +280,12 @@
         self._sync_limit(reservation.dispatch.server_id, now_s)
         self._wake_one()
 
+    def _wake_all(self) -> None:
+        for waiter in self._slot_waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        self._slot_waiters.clear()
+
     def _wake_one(self) -> None:
         while self._slot_waiters:
             waiter = self._slot_waiters.pop(0)
--- a/packages/model/src/magnoliacrank/model/headers.py
+++ b/packages/model/src/magnoliacrank/model/headers.py
@@ -23,6 +23,9 @@
 FORWARDED_BY = "Magnoliacrank-Forwarded-By"
 """Request between entry instances: who forwarded it; one hop at most."""
 
+DELEGATED = "Magnoliacrank-Delegated"
+"""Request between entry instances: the key's owner asks for its dispatch."""
+
 VERDICT = "Magnoliacrank-Verdict"
 """Answer: done, not-run or may-have-run."""
 
--- a/packages/policy/src/magnoliacrank/policy/admission.py
+++ b/packages/policy/src/magnoliacrank/policy/admission.py
@@ -82,6 +82,7 @@
         self._capacity = 0
         self._in_flight = 0
         self._service_s = _FIRST_SERVICE_S
+        self._route_service_s: dict[str, float] = {}
         self._dropped: list[Dropped] = []
 
     @property
@@ -110,7 +111,7 @@
         Returns:
             What becomes of it.
         """
-        if now_s + self._service_s > request.deadline_s:
+        if self._is_late(request, now_s):
             return Refused(_EXPIRED)
         if not self._allowances.take_token(request.customer, now_s):
             return Refused(_OVER_ALLOWANCE)
@@ -134,7 +135,7 @@
             place = self._take_next()
             if place is None:
                 return None
-            if now_s + self._service_s <= place.request.deadline_s:
+            if not self._is_late(place.request, now_s):
                 return self._start(place, now_s)
             self._dropped.append(Dropped(place, _EXPIRED))
         return None
@@ -147,9 +148,7 @@
         """
         for queue in self._queues:
             late = [
-                place
-                for place in queue
-                if now_s + self._service_s > place.request.deadline_s
+                place for place in queue if self._is_late(place.request, now_s)
             ]
             for place in late:
                 queue.remove(place)
@@ -162,15 +161,44 @@
         for queue in self._queues:
             queue.remove(place)
 
-    def on_finished(self, place: fair_queue.Place, now_s: float) -> None:
-        """Notes the end of an admitted request."""
+    def on_finished(
+        self, place: fair_queue.Place, service_s: float | None
+    ) -> None:
+        """Notes the end of an admitted request.
+
+        Args:
+            place: Its place; a repeat does nothing.
+            service_s: Seconds that a backend server took for the whole
+                answer, or None when there was none.
+        """
         if place.started_s is None:
             return
-        took_s = now_s - place.started_s
         place.started_s = None
         self._in_flight -= 1
         self._allowances.on_finished(place.request.customer)
-        self._service_s += _SMOOTHING * (took_s - self._service_s)
+        if service_s is not None:
+            self._note_service(place.request.route, service_s)
+
+    def _note_service(self, route: str, service_s: float) -> None:
+        """Takes in the time of one whole answer."""
+        self._service_s += _SMOOTHING * (service_s - self._service_s)
+        usual_s = self._route_service_s.get(route, service_s)
+        usual_s += _SMOOTHING * (service_s - usual_s)
+        self._route_service_s[route] = usual_s
+
+    def _usual_s(self, request: request_model.Request) -> float:
+        """Returns the usual time of an answer on a request's route."""
+        return self._route_service_s.get(request.route, self._service_s)
+
+    def _is_late(self, request: request_model.Request, now_s: float) -> bool:
+        """Returns whether the answer can't come by the deadline.
+
+        With nothing in flight the estimate is not believed, since only a
+        request that is admitted can correct it.
+        """
+        if not self._in_flight:
+            return now_s >= request.deadline_s
+        return now_s + self._usual_s(request) > request.deadline_s
 
     def _can_start_now(
         self, request: request_model.Request, priority: int
@@ -218,7 +246,8 @@
             return True
         ahead = self._ahead(place, priority)
         wait_s = ahead * self._service_s / max(1, self._capacity)
-        return now_s + wait_s + self._service_s <= place.request.deadline_s
+        answer_s = now_s + wait_s + self._usual_s(place.request)
+        return answer_s <= place.request.deadline_s
 
     def _ahead(self, place: fair_queue.Place, priority: int) -> int:
         """Returns how many requests start before a new one, about."""
--- a/packages/policy/tests/test_admission.py
+++ b/packages/policy/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from magnoliacrank.model import configuration
@@ -81,3 +82,23 @@
     (dropped,) = queue.take_dropped(0.6)
     assert dropped.place is place
     assert not dropped.verdict.may_have_run
+
+
+def test_offer_is_admitted_when_idle_whatever_the_estimate():
+    queue = _admission(1)
+    slow = queue.offer(_request(deadline_s=100.0), 0.0)
+    queue.on_finished(slow.place, 50.0)
+    offer = queue.offer(_request(deadline_s=51.0), 50.0)
+    assert isinstance(offer, admission.Admitted)
+
+
+def test_offer_is_judged_by_its_own_route():
+    queue = _admission(4)
+    upload = queue.offer(_request(deadline_s=100.0), 0.0)
+    other = attrs.evolve(_request(deadline_s=51.0), route="fast")
+    fast = queue.offer(other, 0.0)
+    queue.on_finished(fast.place, 0.01)
+    queue.offer(_request(deadline_s=100.0), 0.0)
+    queue.on_finished(upload.place, 50.0)
+    offer = queue.offer(other, 50.0)
+    assert isinstance(offer, admission.Admitted)
