Borrow slots while requests wait; retry by budget; size pools by share

Cause: an instance with waiting requests and no free slot of its own could only wait, retries had a fixed count, and pools were sized by a rule of thumb. 20 requests at once to a cold service were refused beyond 16 that wait. Change: requests that wait ask the crew for loans at once; retries follow the policy's table and budget; pools take the policy's sizes; waiters and pools are parts of their own; 128 requests may wait at least, and the deadline bounds them as before. Conclusion: loans are in use on the request path.

--- a/packages/cli/tests/test_entry_process.py
+++ b/packages/cli/tests/test_entry_process.py
@@ -11,6 +11,8 @@
 from magnoliacrank.model import verdict
 from magnoliacrank.standins import caller
 
+_DONE = verdict.Outcome.DONE
+
 
 @pytest.fixture
 async def world():
@@ -85,7 +87,6 @@
     await world.publish()
     results = await asyncio.gather(*(one.send(wanted) for _ in range(20)))
     await one.close()
-    assert first.outcome is verdict.Outcome.DONE
-    outcomes = {result.outcome for result in results}
-    assert outcomes == {verdict.Outcome.DONE}
+    assert first.outcome is _DONE
+    assert [one for one in results if one.outcome is not _DONE] == []
     assert not world.journal.doubled_keys()
--- a/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
+++ b/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,7 @@
 from magnoliacrank.model import ids
 from magnoliacrank.model import request
 from magnoliacrank.model import verdict
+from magnoliacrank.policy import retry
 from magnoliacrank.policy import sample
 
 if TYPE_CHECKING:
@@ -30,8 +32,6 @@
 
 _WORK_AFTER_DEADLINE_S = 1.0
 _MS_PER_S = 1000.0
-_NO_RETRY = "no"
-_MAX_RETRIES = 2
 _DROPPED = frozenset(
     name.lower()
     for name in (
@@ -79,6 +79,7 @@
     routed: request_reader.RoutedRequest
     content: bytes | body.BodySource
     excluded: set[ids.ServerId] = attrs.Factory(set)
+    attempts: int = 0
     service_s: float | None = None
 
     @property
@@ -86,6 +87,11 @@
         """The request without its body."""
         return self.routed.request
 
+    @property
+    def is_retry_forbidden(self) -> bool:
+        """Whether a level above forbade retries."""
+        return retry.is_forbidden(self.exchange.headers.get(headers.RETRY))
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the body can be sent again."""
@@ -138,6 +144,7 @@
     async def _run(
         self, journey: _Journey, runtime: service_runtime.ServiceRuntime
     ) -> Result:
+        runtime.retries.on_first_attempt(self._clock())
         while True:
             reservation = await self._reserve(journey, runtime)
             if not isinstance(reservation, service_runtime.Reservation):
@@ -145,9 +152,14 @@
             result = await self._attempt(journey, runtime, reservation)
             if not isinstance(result, exchange_failure.ExchangeFailure):
                 return result
-            if not self._may_retry(journey, result):
-                return result.verdict
+            journey.attempts += 1
             journey.excluded.add(reservation.dispatch.server_id)
+            again = self._decide_retry(journey, runtime, result)
+            if again is None:
+                return result.verdict
+            if again.pause_s:
+                await asyncio.sleep(again.pause_s)
+                journey.excluded.clear()
 
     async def _reserve(
         self, journey: _Journey, runtime: service_runtime.ServiceRuntime
@@ -213,7 +225,12 @@
         fields.append(("Host", reservation.pool.authority))
         left_ms = max(1, int(left_s * _MS_PER_S))
         fields.append((headers.DEADLINE_MS, str(left_ms)))
-        fields.append((headers.RETRY, _NO_RETRY))
+        below = retry.header_below(
+            is_forbidden=journey.is_retry_forbidden,
+            is_retry=journey.attempts > 0,
+        )
+        if below is not None:
+            fields.append((headers.RETRY, below))
         return outbound_head.OutboundHead(
             method=exchange.method, target=exchange.target, headers=fields
         )
@@ -256,17 +273,23 @@
                 reservation, seen, wanted.deadline_s + _WORK_AFTER_DEADLINE_S
             )
 
-    def _may_retry(
-        self, journey: _Journey, failure: exchange_failure.ExchangeFailure
-    ) -> bool:
-        if not journey.is_repeatable or len(journey.excluded) >= _MAX_RETRIES:
-            return False
-        if journey.exchange.headers.get(headers.RETRY) == _NO_RETRY:
-            return False
-        is_once = (
-            journey.wanted.request_class is request.RequestClass.AT_MOST_ONCE
+    def _decide_retry(
+        self,
+        journey: _Journey,
+        runtime: service_runtime.ServiceRuntime,
+        failure: exchange_failure.ExchangeFailure,
+    ) -> retry.Retry | None:
+        if not journey.is_repeatable:
+            return None
+        failed = retry.FailedAttempt(
+            request=journey.wanted,
+            verdict=failure.verdict,
+            attempts=journey.attempts,
+            tried=frozenset(journey.excluded),
+            is_forbidden=journey.is_retry_forbidden,
         )
-        return not (is_once and failure.verdict.may_have_run)
+        again = retry.decide(failed, runtime.retries, self._clock())
+        return again if isinstance(again, retry.Retry) else None
 
 
 def _answer_fields(received: answers.Answer) -> list[tuple[str, str]]:
--- a/packages/gateway/src/magnoliacrank/gateway/peer_link.py
+++ b/packages/gateway/src/magnoliacrank/gateway/peer_link.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-import functools
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -11,10 +9,10 @@
 
 from magnoliacrank.policy import rollout_evidence
 from magnoliacrank.policy import sample
-from magnoliacrank.policy import slot_ledger
 from magnoliacrank.policy import slot_messages
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from magnoliacrank.gateway import service_directory
@@ -33,23 +31,14 @@
     """One sign for each server."""
 
 
-_Take = Callable[
-    [slot_ledger.SlotLedger, Any, float], list[slot_messages.Outgoing]
-]
-
-_SLOT_MESSAGES: tuple[tuple[str, type[Any], _Take], ...] = (
-    (
-        "crew-check",
-        slot_messages.CrewCheck,
-        slot_ledger.SlotLedger.on_crew_check,
-    ),
-    (
-        "crew-state",
-        slot_messages.CrewState,
-        slot_ledger.SlotLedger.on_crew_state,
-    ),
+_SLOT_MESSAGES: tuple[tuple[str, type[Any]], ...] = (
+    ("loan-request", slot_messages.LoanRequest),
+    ("loan-grant", slot_messages.LoanGrant),
+    ("loan-return", slot_messages.LoanReturn),
+    ("crew-check", slot_messages.CrewCheck),
+    ("crew-state", slot_messages.CrewState),
 )
-"""Kinds of slot messages with the method that takes each."""
+"""Kinds of messages between slot ledgers."""
 
 
 class PeerLink:
@@ -79,10 +68,9 @@
 
     def register(self) -> None:
         """Takes the messages from now on."""
-        for kind, message_type, take in _SLOT_MESSAGES:
-            self._messages.register(
-                kind, message_type, functools.partial(self._on_slot, take)
-            )
+        self._services.outbox = self._send
+        for kind, message_type in _SLOT_MESSAGES:
+            self._messages.register(kind, message_type, self._on_slot)
         self._messages.register("signs", ServerSigns, self._on_signs)
         self._messages.register(
             "evidence", rollout_evidence.Evidence, self._on_evidence
@@ -90,7 +78,7 @@
 
     def tick(self) -> None:
         """Does what is due in all services and tells the crews."""
-        self._send(self._services.tick())
+        self._services.tick()
         for runtime in self._services.services:
             self._send_signs(runtime)
 
@@ -136,12 +124,9 @@
             self._services.on_sign(sign)
 
     def _on_slot(
-        self,
-        take: _Take,
-        sender: server.PeerSender,
-        message: slot_messages.Message,
+        self, sender: server.PeerSender, message: slot_messages.Message
     ) -> None:
         del sender
         runtime = self._services.find(message.service)
         if runtime is not None:
-            self._send(take(runtime.ledger, message, self._clock()))
+            runtime.on_slot_message(message)
--- a/packages/gateway/src/magnoliacrank/gateway/service_directory.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_directory.py
@@ -45,6 +45,8 @@
     ) -> None:
         self.samples = sample_tap.SampleTap()
         """Where the outcomes of all dispatches go."""
+        self.outbox: service_runtime.Outbox = _discard
+        """Sends messages to other members of the crews; set by its owner."""
         self._own = own
         self._rng = rng
         self._clock = clock
@@ -144,12 +146,10 @@
             if sign.server_id in runtime.router.server_ids:
                 runtime.router.on_sign(sign, now_s)
 
-    def tick(self) -> list[slot_messages.Outgoing]:
-        """Does what is due in all services; returns messages to send."""
-        outgoing: list[slot_messages.Outgoing] = []
+    def tick(self) -> None:
+        """Does what is due in all services."""
         for runtime in self._services.values():
-            outgoing += runtime.tick()
-        return outgoing
+            runtime.tick()
 
     async def close(self) -> None:
         """Closes all connections to backend servers."""
@@ -163,6 +163,7 @@
             self._own,
             self._allowances,
             self.samples,
+            self.outbox,
             self._rng,
             self._clock,
         )
@@ -187,3 +188,8 @@
                 or data_centre not in found[1].data_centres
             )
             runtime.router.set_data_centres_out(out)
+
+
+def _discard(outgoing: Sequence[slot_messages.Outgoing]) -> None:
+    """Stands in until there is a way to send messages."""
+    del outgoing
--- a/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
@@ -2,28 +2,30 @@
 
 from __future__ import annotations
 
-import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from absl import logging
 import attrs
 
 from magnoliacrank.gateway import admission_gate
-from magnoliacrank.gateway import pool_limits
+from magnoliacrank.gateway import pool_events
 from magnoliacrank.gateway import server_pool
+from magnoliacrank.gateway import server_pools
+from magnoliacrank.gateway import slot_waiters
 from magnoliacrank.model import ids
 from magnoliacrank.model import verdict
 from magnoliacrank.policy import admission
 from magnoliacrank.policy import life
+from magnoliacrank.policy import retry_budget
 from magnoliacrank.policy import router
 from magnoliacrank.policy import sample
 from magnoliacrank.policy import slot_hold
 from magnoliacrank.policy import slot_ledger
+from magnoliacrank.policy import slot_messages
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Collection
-    from collections.abc import Sequence
     import random
 
     from magnoliacrank.gateway import sample_tap
@@ -32,12 +34,14 @@
     from magnoliacrank.model import request
     from magnoliacrank.model import server
     from magnoliacrank.policy import allowance_meter
-    from magnoliacrank.policy import slot_messages
 
-_MIN_CONNECTIONS = 4
 _COLD_LIVES = frozenset({life.Life.COLD, life.Life.WARMING})
 
 
+Outbox = Callable[[Sequence[slot_messages.Outgoing]], None]
+"""Sends messages to other members of a crew."""
+
+
 @attrs.frozen
 class Reservation:
     """A backend server chosen for one dispatch, with a slot on it."""
@@ -63,6 +67,7 @@
         own: This instance.
         allowances: Meter of the customers' allowances.
         samples: Takes the outcome of each dispatch.
+        outbox: Sends messages to other members of the crew.
         rng: Source of randomness for sampling.
         clock: Monotonic time in seconds.
     """
@@ -73,12 +78,14 @@
         own: instance.EntryInstance,
         allowances: allowance_meter.AllowanceMeter,
         samples: sample_tap.SampleTap,
+        outbox: Outbox,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
         self._name = name
         self._own = own
         self._samples = samples
+        self._outbox = outbox
         self._clock = clock
         self._ledger = slot_ledger.SlotLedger(own.instance_id, own.incarnation)
         self._router = router.Router(own.data_centre, self._ledger, rng)
@@ -86,10 +93,10 @@
             admission.Admission(allowances), clock
         )
         self._servers: dict[ids.ServerId, server.BackendServer] = {}
-        self._pools: dict[ids.ServerId, server_pool.ServerPool] = {}
-        self._closing: set[asyncio.Task[None]] = set()
+        self._pools = server_pools.ServerPools(pool_events.NullListener())
         self._crew: crew_model.Crew | None = None
-        self._slot_waiters: list[asyncio.Future[None]] = []
+        self._waiters = slot_waiters.SlotWaiters()
+        self._retries = retry_budget.RetryBudget()
 
     @property
     def name(self) -> ids.ServiceName:
@@ -111,11 +118,20 @@
         """Where requests wait for their turn."""
         return self._gate
 
+    @property
+    def retries(self) -> retry_budget.RetryBudget:
+        """Budget of retries for this service."""
+        return self._retries
+
     @property
     def crew(self) -> crew_model.Crew | None:
         """Crew in force, or None before the first record."""
         return self._crew
 
+    @property
+    def _member_count(self) -> int:
+        return 1 if self._crew is None else max(1, len(self._crew.members))
+
     @property
     def is_member(self) -> bool:
         """Whether this instance belongs to the crew."""
@@ -132,8 +148,7 @@
         now_s = self._clock()
         self._servers = {one.server_id: one for one in servers}
         self._router.set_servers(servers, now_s)
-        for server_id in set(self._pools) - set(self._servers):
-            self._close_pool(server_id)
+        self._pools.keep(self._servers)
         self._refresh(now_s)
 
     def set_crew(self, record: crew_model.Crew) -> None:
@@ -150,18 +165,15 @@
         self._refresh(now_s)
         if not self.is_member:
             self._gate.dismiss()
-            self._wake_all()
+            self._waiters.wake_all()
 
-    def tick(self) -> list[slot_messages.Outgoing]:
-        """Does what is due; called a few times a second.
-
-        Returns:
-            Messages to send to other members of the crew.
-        """
+    def tick(self) -> None:
+        """Does what is due; called a few times a second."""
         now_s = self._clock()
-        outgoing = self._ledger.tick(now_s)
+        self._outbox(self._ledger.tick(now_s))
         self._refresh(now_s)
-        return outgoing
+        if self._gate.waiting or self._waiters.count:
+            self._ask_loans(now_s)
 
     def reserve(
         self,
@@ -187,7 +199,11 @@
         if isinstance(hold, slot_hold.NoSlot):
             return sample.NoServer(verdict.Reason.OVERLOADED)
         return Reservation(
-            pool=self._pool_of(chosen),
+            pool=self._pools.get(
+                self._servers[chosen],
+                self._ledger.free(chosen, now_s) + 1,
+                self._member_count,
+            ),
             hold=hold,
             dispatch=self._router.on_dispatch(chosen, wanted.route, now_s),
             version=self._servers[chosen].version,
@@ -238,21 +254,28 @@
         Args:
             timeout_s: Longest time to wait, in seconds.
         """
-        waiter = asyncio.get_running_loop().create_future()
-        self._slot_waiters.append(waiter)
-        try:
-            await asyncio.wait_for(waiter, timeout_s)
-        except TimeoutError:
-            return
-        finally:
-            if waiter in self._slot_waiters:
-                self._slot_waiters.remove(waiter)
+        self._ask_loans(self._clock())
+        await self._waiters.wait(timeout_s)
+
+    def on_slot_message(self, message: slot_messages.Message) -> None:
+        """Takes a message of another member of the crew."""
+        now_s = self._clock()
+        self._outbox(self._ledger.on_message(message, now_s))
+        self._refresh(now_s)
 
     async def close(self) -> None:
         """Closes all connections."""
-        for server_id in list(self._pools):
-            self._close_pool(server_id)
-        await asyncio.gather(*self._closing, return_exceptions=True)
+        await self._pools.close()
+
+    def _ask_loans(self, now_s: float) -> None:
+        """Asks other members for slots of the servers in use."""
+        need = self._gate.waiting + self._waiters.count + 1
+        wanted = tuple(
+            slot_messages.SlotCount(server_id, min(need, listed.slots))
+            for server_id, listed in self._servers.items()
+            if self._router.is_eligible(server_id)
+        )
+        self._outbox(self._ledger.ask_loans(wanted, now_s))
 
     def _judge(
         self, reservation: Reservation, latency_s: float, *, is_ok: bool
@@ -277,20 +300,7 @@
     def _free(self, reservation: Reservation, now_s: float) -> None:
         self._ledger.release(reservation.hold, now_s)
         self._sync_limit(reservation.dispatch.server_id, now_s)
-        self._wake_one()
-
-    def _wake_all(self) -> None:
-        for waiter in self._slot_waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-        self._slot_waiters.clear()
-
-    def _wake_one(self) -> None:
-        while self._slot_waiters:
-            waiter = self._slot_waiters.pop(0)
-            if not waiter.done():
-                waiter.set_result(None)
-                return
+        self._waiters.wake(1)
 
     def _refresh(self, now_s: float) -> None:
         for server_id in self._servers:
@@ -299,8 +309,7 @@
             self._ledger.free(server_id, now_s) for server_id in self._servers
         )
         self._gate.set_capacity(self._gate.in_flight + free)
-        for _ in range(min(free, len(self._slot_waiters))):
-            self._wake_one()
+        self._waiters.wake(free)
 
     def _sync_limit(self, server_id: ids.ServerId, now_s: float) -> None:
         self._ledger.set_limit(
@@ -309,33 +318,3 @@
             is_cold=self._router.life(server_id) in _COLD_LIVES,
             now_s=now_s,
         )
-
-    def _pool_of(self, server_id: ids.ServerId) -> server_pool.ServerPool:
-        pool = self._pools.get(server_id)
-        if pool is None:
-            pool = self._open_pool(server_id)
-        return pool
-
-    def _open_pool(self, server_id: ids.ServerId) -> server_pool.ServerPool:
-        listed = self._servers[server_id]
-        members = 1 if self._crew is None else max(1, len(self._crew.members))
-        share = max(_MIN_CONNECTIONS, listed.connections // members)
-        pool = server_pool.ServerPool(
-            listed.host,
-            listed.port,
-            pool_limits.PoolLimits(max_connections=share),
-        )
-        pool.open()
-        self._pools[server_id] = pool
-        return pool
-
-    def _close_pool(self, server_id: ids.ServerId) -> None:
-        pool = self._pools.pop(server_id)
-        logging.info(
-            "gateway: Server %s of %s is no longer listed.",
-            server_id,
-            self._name,
-        )
-        task = asyncio.ensure_future(pool.drain())
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/packages/gateway/src/magnoliacrank/gateway/slot_waiters.py
@@ -0,0 +1,52 @@
+"""SlotWaiters: admitted requests that wait for a free slot."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+
+class SlotWaiters:
+    """Wakes waiting requests in the order of their arrival."""
+
+    def __init__(self) -> None:
+        self._waiters: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+
+    @property
+    def count(self) -> int:
+        """Requests that wait."""
+        return len(self._waiters)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Returns when woken or when the time is over.
+
+        Args:
+            timeout_s: Longest time to wait, in seconds.
+        """
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            await asyncio.wait_for(waiter, timeout_s)
+        except TimeoutError:
+            return
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def wake(self, count: int) -> None:
+        """Wakes some requests, the longest waiting first.
+
+        Args:
+            count: Most requests to wake.
+        """
+        while count > 0 and self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                count -= 1
+
+    def wake_all(self) -> None:
+        """Wakes all requests."""
+        self.wake(len(self._waiters))
--- a/packages/policy/src/magnoliacrank/policy/admission.py
+++ b/packages/policy/src/magnoliacrank/policy/admission.py
@@ -14,7 +14,7 @@
 from magnoliacrank.policy import fair_queue
 
 _WAITING_PER_SLOT = 8
-_LEAST_WAITING = 16
+_LEAST_WAITING = 128
 _SMOOTHING = 0.1
 _FIRST_SERVICE_S = 0.005
 
--- a/packages/policy/src/magnoliacrank/policy/router.py
+++ b/packages/policy/src/magnoliacrank/policy/router.py
@@ -282,6 +282,13 @@
             if state.slowness(now_s) < self._options.spill_cost
         )
 
+    def is_eligible(self, server_id: ids.ServerId) -> bool:
+        """Returns whether a server may get new work at all."""
+        state = self._states.get(server_id)
+        if state is None or state.server.data_centre in self._out:
+            return False
+        return state.life not in (life.Life.LEAVING, life.Life.GONE)
+
     def life(self, server_id: ids.ServerId) -> life.Life:
         """Returns the state of a server in its life cycle."""
         state = self._states.get(server_id)
