Give admission in the bench the time of the whole answer

Change: the bench passes the latency of the answer that ended a call. Conclusion: bench and gateway use admission alike.

--- a/bench/decisions/product.py
+++ b/bench/decisions/product.py
@@ -55,6 +55,7 @@
     ready_s: float = 0.0
     """Virtual time from which it waits for a slot."""
     runs_singly: bool = False
+    service_s: float | None = None
 
 
 class Product:
@@ -305,6 +306,7 @@
 
     def _settle(self, journey: Journey, attempt: balancer.Attempt) -> None:
         if attempt.status is fake_server.Status.OK:
+            journey.service_s = attempt.latency_s
             self._end(journey, balancer.Result.OK)
             return
         if journey.open_attempts:
@@ -333,7 +335,7 @@
     def _end(self, journey: Journey, result: balancer.Result) -> None:
         now_s = self._setting.time.now_s
         if journey.place is not None:
-            self._admission.on_finished(journey.place, now_s)
+            self._admission.on_finished(journey.place, journey.service_s)
         if journey.runs_singly:
             cleared = self._suspects.on_run_singly_finished(
                 _fingerprint(journey.wanted),
