--- a/packages/state/src/magnoliacrank/state/appender.py
+++ b/packages/state/src/magnoliacrank/state/appender.py
@@ -91,6 +91,7 @@
     data: bytes
     confirmed: asyncio.Future[ids.LogOffset]
     progress: _Progress = _Progress.WAITING
+    answered: asyncio.Event = attrs.Factory(asyncio.Event)
     was_unknown: bool = False
 
 
@@ -162,10 +163,26 @@
         self._queue.append(pending)
         self._has_work.set()
         try:
-            async with asyncio.timeout(timeout_s):
-                return Appended(await watch)
-        except TimeoutError:
+            await asyncio.wait([watch], timeout=timeout_s)
+            if not watch.done():
+                await self._wait_for_answer(pending)
+            if watch.done():
+                return Appended(watch.result())
             return _UNCONFIRMED[pending.progress]
+        finally:
+            watch.cancel()
+
+    async def _wait_for_answer(self, pending: _Pending) -> None:
+        """Gives an append that is under way a moment to be answered."""
+        if pending.progress is not _Progress.SENT:
+            return
+        answered = asyncio.ensure_future(pending.answered.wait())
+        await asyncio.wait(
+            [answered, pending.confirmed],
+            timeout=self._settle_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        answered.cancel()
 
     async def _run(self) -> None:
         while True:
@@ -176,6 +193,8 @@
                 continue
             begun_s = self._clock()
             delay_s = await self._send(batch)
+            for pending in batch:
+                pending.answered.set()
             spent_s = self._clock() - begun_s
             await asyncio.sleep(max(delay_s, self._interval_s - spent_s))
 
@@ -191,6 +210,7 @@
         """Sends a batch; returns the seconds to wait before the next."""
         for pending in batch:
             pending.progress = _Progress.SENT
+            pending.answered.clear()
         self._append_count += 1
         try:
             await self._log.append([pending.data for pending in batch])
@@ -224,6 +244,7 @@
         for pending in batch:
             pending.progress = _Progress.UNKNOWN
             pending.was_unknown = True
+            pending.answered.set()
         await asyncio.wait(
             [pending.confirmed for pending in batch], timeout=self._settle_s
         )
--- a/packages/state/tests/test_publish.py
+++ b/packages/state/tests/test_publish.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 
 import pytest
@@ -10,6 +11,7 @@
 from magnoliacrank.platform import http_log_service
 from magnoliacrank.standins import log_service as log_stand_in
 from magnoliacrank.standins import memory_log
+from magnoliacrank.standins import virtual_time
 from magnoliacrank.state import appender as appender_lib
 from magnoliacrank.state import edit as edit_lib
 from magnoliacrank.state import log_follower
@@ -23,12 +25,16 @@
 
 
 @contextlib.asynccontextmanager
-async def node(log):
+async def node(log, settle_s=0.05):
     follower = log_follower.LogFollower(
         log, long_poll_s=0.05, retry_delay_s=0.01
     )
     appender = appender_lib.Appender(
-        log, follower, appends_per_s=1000.0, settle_s=0.05, retry_delay_s=0.01
+        log,
+        follower,
+        appends_per_s=1000.0,
+        settle_s=settle_s,
+        retry_delay_s=0.01,
     )
     await follower.start()
     await appender.start()
@@ -89,7 +95,7 @@
     stand_in.stream("s").faults.is_down = is_down
     log = http_log_service.HttpLogService(stand_in.url, "s")
     await log.start()
-    async with node(log) as (_, first):
+    async with node(log, settle_s=5.0) as (_, first):
         assert await first.publish(edit_of("a"), 0, timeout_s=0.3) == expected
     await log.close()
     await stand_in.close()
@@ -106,3 +112,42 @@
         assert result == publisher.Accepted(1, 0)
     await log.close()
     await stand_in.close()
+
+
+async def _publish_to_slow_log(delay_s, is_down):
+    log = memory_log.MemoryLog(clock=asyncio.get_running_loop().time)
+    log.faults.delay_s = delay_s
+    log.faults.is_down = is_down
+    async with node(log, settle_s=0.5) as (_, first):
+        return await first.publish(edit_of("a"), 0, timeout_s=1.0)
+
+
+@pytest.mark.parametrize(
+    ("delay_s", "is_down", "expected"),
+    [
+        (0.1, False, publisher.Accepted(1, 0)),
+        (
+            1.2,
+            True,
+            publisher.NotPublished(appender_lib.Failure.LOG_UNAVAILABLE),
+        ),
+        (3.0, True, publisher.Unknown(appender_lib.Failure.ANSWER_LOST)),
+        (3.0, False, publisher.Unknown(appender_lib.Failure.ANSWER_LOST)),
+        (0.7, False, publisher.Accepted(1, 0)),
+    ],
+)
+def test_publish_to_slow_log_says_only_what_is_known(
+    delay_s, is_down, expected
+):
+    result = virtual_time.run(_publish_to_slow_log(delay_s, is_down))
+    assert result == expected
+
+
+async def test_publish_not_read_back_is_unknown():
+    log = memory_log.MemoryLog()
+    async with node(log) as (follower, first):
+        await follower.wait_until_ready()
+        await follower.close()
+        result = await first.publish(edit_of("a"), 0, timeout_s=0.1)
+        assert result == publisher.Unknown(appender_lib.Failure.NOT_READ_BACK)
+        assert log.end_offset == 1
