--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+check-histories: $(STAMP)
+	$(BIN)/python -m pytest -m histories --durations=10
+
 format: $(STAMP)
 	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
@@ -42,6 +45,12 @@
 imports: $(STAMP)
 	$(BIN)/lint-imports
 
+bench: bench-decisions
+
+.PHONY: bench-decisions
+bench-decisions: $(STAMP)
+	$(BIN)/python -m bench.decisions
+
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
 	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
