--- a/packages/state/src/magnoliacrank/state/appender.py
+++ b/packages/state/src/magnoliacrank/state/appender.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import enum
 import time
 from typing import TYPE_CHECKING
@@ -176,13 +177,9 @@
         """Gives an append that is under way a moment to be answered."""
         if pending.progress is not _Progress.SENT:
             return
-        answered = asyncio.ensure_future(pending.answered.wait())
-        await asyncio.wait(
-            [answered, pending.confirmed],
-            timeout=self._settle_s,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        answered.cancel()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settle_s):
+                await pending.answered.wait()
 
     async def _run(self) -> None:
         while True:
--- a/packages/state/src/magnoliacrank/state/messages.py
+++ b/packages/state/src/magnoliacrank/state/messages.py
@@ -133,9 +133,7 @@
         yield TermChanged(term)
     for move in _changed(before.moves, after.moves):
         yield MoveChanged(move)
-    for notice in after.notices:
-        if notice.offset >= before.next_offset:
-            yield NoticeRecorded(notice)
+    yield from _notices(before, after)
     yield from _departures(before, after)
     if after.snapshot_offset != before.snapshot_offset:
         yield SnapshotRecorded(after.snapshot_offset, after.snapshot_covers)
@@ -159,3 +157,13 @@
     for instance_id, incarnation in after.departures.items():
         if before.departures.get(instance_id) != incarnation:
             yield DepartureRecorded(instance_id, incarnation)
+
+
+def _notices(
+    before: log_state.LogState, after: log_state.LogState
+) -> Iterator[NoticeRecorded]:
+    if after.notices is before.notices:
+        return
+    for notice in after.notices:
+        if notice.offset >= before.next_offset:
+            yield NoticeRecorded(notice)
--- a/packages/state/tests/test_log_histories.py
+++ b/packages/state/tests/test_log_histories.py
@@ -122,6 +122,7 @@
         super().__init__()
         self.runner = asyncio.Runner(loop_factory=virtual_time.VirtualTimeLoop)
         self.published = []
+        self.paused = set()
         self.runner.run(self.set_up())
 
     async def set_up(self):
@@ -132,15 +133,18 @@
         await asyncio.sleep(0.1)
 
     @stateful.rule(
-        index=NODES, name=st.sampled_from("ab"), state=STATES, lag=NODES
+        index=NODES,
+        state=STATES,
+        lag=NODES,
+        seconds=st.sampled_from([0.01, 0.5, 1.0]),
     )
-    def publish(self, index, name, state, lag):
-        self.runner.run(self.begin_publish(index, name, state, lag))
+    def publish(self, index, state, lag, seconds):
+        self.runner.run(self.begin_publish(index, state, lag, seconds))
 
-    async def begin_publish(self, index, name, state, lag):
+    async def begin_publish(self, index, state, lag, seconds):
         node = self.nodes[index]
         base = max(node.follower.state.version - lag // 2, 0)
-        edit = edit_lib.Edit(data_centres={name: state})
+        edit = edit_lib.Edit(data_centres={"a": state})
         append_id = f"p{len(self.published)}"
         task = asyncio.create_task(
             node.publisher.publish(
@@ -148,7 +152,7 @@
             )
         )
         self.published.append(Published(append_id, task))
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(seconds)
 
     @stateful.rule(seconds=st.sampled_from([0.05, 0.5, 4.0]))
     def wait(self, seconds):
@@ -191,11 +195,12 @@
         newest = max(n.follower.state.next_offset for n in self.nodes)
         self.log.expire_before(int(newest * part))
 
-    @stateful.rule(from_index=NODES, to_index=NODES)
-    def pass_on(self, from_index, to_index):
+    @stateful.rule(from_index=NODES, to_index=NODES, overlap=NODES)
+    def pass_on(self, from_index, to_index, overlap):
         giver = self.nodes[from_index].follower
         taker = self.nodes[to_index].follower
-        found = giver.records_since(taker.state.next_offset, 5)
+        start = max(taker.state.next_offset - overlap, 0)
+        found = giver.records_since(start, 5)
         if found is None:
             taker.on_peer_snapshot(giver.snapshot())
         elif found:
@@ -203,18 +208,46 @@
                 found[0].offset, [each.data for each in found]
             )
 
+    @stateful.rule(from_index=NODES, to_index=NODES)
+    def pass_snapshot(self, from_index, to_index):
+        giver = self.nodes[from_index].follower
+        self.nodes[to_index].follower.on_peer_snapshot(giver.snapshot())
+
     @stateful.rule(index=st.integers(1, 3))
     def replace(self, index):
         self.runner.run(self.replace_node(index))
 
     async def replace_node(self, index):
-        newest = max(n.follower.state.next_offset for n in self.nodes)
-        if self.nodes[index].follower.state.next_offset == newest:
+        if not self.is_covered_by_another(index):
             return
         await self.nodes[index].close()
         self.nodes[index] = Node(self.log)
         await self.nodes[index].start()
 
+    def is_covered_by_another(self, index):
+        """Whether another instance knows as much, so that none is lost."""
+        own = self.nodes[index].follower.state.next_offset
+        return any(
+            node.follower.state.next_offset >= own
+            for node in self.nodes
+            if node is not self.nodes[index]
+        )
+
+    @stateful.rule(index=NODES)
+    def pause(self, index):
+        self.runner.run(self.nodes[index].follower.close())
+        self.paused.add(self.nodes[index])
+
+    @stateful.rule()
+    def resume(self):
+        self.runner.run(self.resume_nodes())
+
+    async def resume_nodes(self):
+        for node in self.paused.intersection(self.nodes):
+            await node.follower.start()
+        self.paused.clear()
+        await asyncio.sleep(0.0)
+
     @stateful.invariant()
     def no_rule_is_broken(self):
         assert not self.broken()
@@ -239,6 +272,7 @@
 
     async def settle(self):
         self.log.faults = memory_log.LogFaults()
+        await self.resume_nodes()
         newest = max(
             (n.follower for n in self.nodes), key=lambda f: f.state.next_offset
         )
@@ -257,8 +291,8 @@
 
 TestLogHistories = LogHistories.TestCase
 TestLogHistories.settings = settings(
-    max_examples=40,
-    stateful_step_count=30,
+    max_examples=120,
+    stateful_step_count=50,
     derandomize=True,
     deadline=None,
     suppress_health_check=list(HealthCheck),
--- a/packages/state/tests/test_publish.py
+++ b/packages/state/tests/test_publish.py
@@ -151,3 +151,19 @@
         result = await first.publish(edit_of("a"), 0, timeout_s=0.1)
         assert result == publisher.Unknown(appender_lib.Failure.NOT_READ_BACK)
         assert log.end_offset == 1
+
+
+async def test_publish_answer_lost_and_then_refused_stays_unknown():
+    log = memory_log.MemoryLog()
+    log.faults.lost_answers = 1
+    async with node(log) as (follower, first):
+        await follower.wait_until_ready()
+        await follower.close()
+        published = asyncio.create_task(
+            first.publish(edit_of("a"), 0, timeout_s=0.2)
+        )
+        await asyncio.sleep(0.02)
+        log.faults.is_down = True
+        unknown = publisher.Unknown(appender_lib.Failure.ANSWER_LOST)
+        assert await published == unknown
+        assert log.end_offset == 1
--- a/packages/state/tests/test_terms_and_moves.py
+++ b/packages/state/tests/test_terms_and_moves.py
@@ -23,6 +23,7 @@
 from magnoliacrank.state import moves
 from magnoliacrank.state import publisher
 from magnoliacrank.state import readiness
+from magnoliacrank.state import records
 from magnoliacrank.state import snapshot_writer
 from magnoliacrank.state import term_keeper
 
@@ -263,12 +264,13 @@
         await asyncio.sleep(60)
         assert nodes[0].state.terms[moves.JOB].holder != term.holder
         assert paused.keeper.fence() is None
-        running = nodes[0].state.moves["s"]
-        step = moves.records.MoveRecord(
-            "s", running.move_id, running.step + 1, move.Phase.TAKEN_BACK
+        await begin_move(nodes[0], "t")
+        running = nodes[0].state.moves["t"]
+        step = records.MoveRecord(
+            "t", running.move_id, running.step + 1, move.Phase.TAKEN_BACK
         )
         await paused.appender.append(step, fence=old_fence)
-        assert nodes[0].state.moves["s"].phase is not move.Phase.TAKEN_BACK
+        assert nodes[0].state.moves["t"].phase is move.Phase.RUNNING
 
     virtual_time.run(with_nodes(scenario))
 
