--- a/bench/decisions/member_slots.py
+++ b/bench/decisions/member_slots.py
@@ -176,10 +176,11 @@
         now_s = self._time.now_s
         self._ledger.set_limit(server_id, limit, is_cold=is_cold, now_s=now_s)
 
-    def ask(self, wanted: tuple[slot_messages.SlotCount, ...]) -> None:
-        """Asks other members for slots."""
+    def ask(
+        self, wanted: tuple[slot_messages.SlotCount, ...], most: int
+    ) -> None:
+        """Asks other members for slots, no more than so many in sum."""
         server_ids = [slots.server_id for slots in wanted]
-        most = sum(slots.count for slots in wanted)
         now_s = self._time.now_s
         self._send_all(self._ledger.ask_loans(server_ids, most, now_s))
 
