--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of cost by size, for docs/CAPACITY.md."""
--- a/packages/peers/src/magnoliacrank/peers/channel.py
+++ b/packages/peers/src/magnoliacrank/peers/channel.py
@@ -31,6 +31,8 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.enable_retries", 0),
     ("grpc.service_config_disable_resolution", 1),
+    # Bandwidth is not what these connections are short of.
+    ("grpc.http2.bdp_probe", 0),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.keepalive_time_ms", _KEEPALIVE_MS),
--- a/packages/peers/src/magnoliacrank/peers/server.py
+++ b/packages/peers/src/magnoliacrank/peers/server.py
@@ -28,6 +28,8 @@
 _OPTIONS = (
     # Two processes shall not share one port by accident.
     ("grpc.so_reuseport", 0),
+    # Bandwidth is not what these connections are short of.
+    ("grpc.http2.bdp_probe", 0),
     ("grpc.max_receive_message_length", channel.MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", channel.MAX_MESSAGE_BYTES),
     ("grpc.max_concurrent_streams", _MAX_CONCURRENT_STREAMS),
