Pass log records on between instances, and evidence to the moves' holder

Cause: an instance that can't reach the log stood still although its peers had the records: nothing asked them. A holder of the moves' term outside a service's crew got none of the crew's evidence, so it could neither grow nor take back that service's version. Conclusion: an accepted edit reaches instances without the log as well.

--- a/packages/cli/src/magnoliacrank/cli/entry_parts.py
+++ b/packages/cli/src/magnoliacrank/cli/entry_parts.py
@@ -28,6 +28,7 @@
 from magnoliacrank.peers import client
 from magnoliacrank.peers import membership_task
 from magnoliacrank.peers import messenger
+from magnoliacrank.peers import record_relay
 from magnoliacrank.platform import http_instance_list
 from magnoliacrank.platform import http_log_service
 from magnoliacrank.policy import key_table
@@ -78,6 +79,9 @@
     messages: messenger.PeerMessenger
     """Messages to other instances."""
 
+    relay: record_relay.RecordRelay
+    """Log records to and from other instances."""
+
     status: instance_status.InstanceStatus
     """What operators see."""
 
@@ -124,6 +128,7 @@
     calls = client.PeerClient(own, clock)
     membership = membership_task.MembershipTask(own, calls, clock=clock)
     messages = messenger.PeerMessenger(calls, membership.find)
+    relay = record_relay.RecordRelay(follower, membership, calls)
     services = service_directory.ServiceDirectory(own, random.Random(), clock)
     metrics = request_metrics.RequestMetrics()
     status = instance_status.InstanceStatus(
@@ -190,6 +195,7 @@
         services=services,
         membership=membership,
         messages=messages,
+        relay=relay,
         status=status,
         handler=handler,
         in_start_order=(
@@ -199,6 +205,7 @@
             _OnClose(calls.close),
             _OnClose(messages.close),
             membership,
+            relay,
             _OnClose(forwards.close),
             _OnClose(services.close),
             listed,
--- a/packages/cli/src/magnoliacrank/cli/entry_process.py
+++ b/packages/cli/src/magnoliacrank/cli/entry_process.py
@@ -89,6 +89,7 @@
         self._parts = parts
         self._peer_handlers.exchange = parts.membership.on_exchange
         self._peer_handlers.deliver = parts.messages.on_delivery
+        self._peer_handlers.records = parts.relay.on_request
         for part in parts.in_start_order:
             await part.start()
         parts.status.phase = instance_status.Phase.SERVING
--- a/packages/gateway/src/magnoliacrank/gateway/peer_link.py
+++ b/packages/gateway/src/magnoliacrank/gateway/peer_link.py
@@ -95,11 +95,9 @@
             self._send_signs(runtime)
 
     def send_evidence(self, evidence: rollout_evidence.Evidence) -> None:
-        """Tells the crew of a moving service what was seen here."""
-        for name, tracker in self._moves.trackers.items():
-            runtime = self._services.find(name)
-            if tracker.move.move_id == evidence.move_id and runtime is not None:
-                self._send_crew(runtime, evidence)
+        """Tells those that decide on a move what was seen here."""
+        for instance_id in self._moves.receivers(evidence):
+            self._messages.send(instance_id, evidence)
 
     def _send(self, outgoing: Iterable[slot_messages.Outgoing]) -> None:
         for one in outgoing:
@@ -114,7 +112,7 @@
     def _send_crew(
         self,
         runtime: service_runtime.ServiceRuntime,
-        message: ServerSigns | rollout_evidence.Evidence,
+        message: ServerSigns,
     ) -> None:
         if runtime.crew is None:
             return
--- a/packages/state/src/magnoliacrank/state/log_follower.py
+++ b/packages/state/src/magnoliacrank/state/log_follower.py
@@ -131,13 +131,19 @@
         return future
 
     def on_peer_records(
-        self, offset: ids.LogOffset, data: Sequence[bytes]
+        self,
+        offset: ids.LogOffset,
+        data: Sequence[bytes],
+        *,
+        end_offset: ids.LogOffset | None = None,
     ) -> bool:
         """Folds records that a peer read from the log.
 
         Args:
             offset: Offset of the first record.
             data: Records without gaps.
+            end_offset: Next offset of the peer's fold when the peer is ready;
+                the fold is ready once it is there.
 
         Returns:
             Whether they join on to the fold; if not, nothing was taken.
@@ -150,6 +156,8 @@
                 for i, each in enumerate(data)
             )
         )
+        if end_offset is not None and self._state.next_offset >= end_offset:
+            self._set_readiness(readiness_lib.Reason.READY)
         return True
 
     def records_since(
--- a/packages/state/src/magnoliacrank/state/move_table.py
+++ b/packages/state/src/magnoliacrank/state/move_table.py
@@ -24,6 +24,9 @@
     from magnoliacrank.model import move as move_lib
     from magnoliacrank.state import log_follower
 
+MOVES_JOB = "moves"
+"""Name of the singular job that records the steps of moves."""
+
 Shares = dict[ids.SoftwareVersion, float]
 """Share of each version; they sum to one."""
 
@@ -121,6 +124,25 @@
                 tracker.on_evidence(evidence)
                 self._refresh(service)
 
+    def receivers(
+        self, evidence: rollout_evidence.Evidence
+    ) -> frozenset[ids.InstanceId]:
+        """Returns the instances that need this instance's evidence.
+
+        They are the members of the service's crew, which stop a faulty version
+        at once, and the holder of the moves' term, which records the steps.
+        """
+        state = self._follower.state
+        names: set[ids.InstanceId] = set()
+        term = state.terms.get(MOVES_JOB)
+        if term is not None:
+            names.add(term.holder)
+        for service, tracker in self._trackers.items():
+            crew = state.crews.get(service)
+            if tracker.move.move_id == evidence.move_id and crew is not None:
+                names.update(each.instance_id for each in crew.members)
+        return frozenset(names - {self._instance_id})
+
     def on_listing(self, listing: instance.Listing) -> None:
         """Takes a newer answer of the instance list."""
         self._listing = listing
--- a/packages/state/src/magnoliacrank/state/moves.py
+++ b/packages/state/src/magnoliacrank/state/moves.py
@@ -10,16 +10,16 @@
 from magnoliacrank.model import move as move_lib
 from magnoliacrank.policy import rollout
 from magnoliacrank.state import appender as appender_lib
+from magnoliacrank.state import move_table
 from magnoliacrank.state import records
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from magnoliacrank.policy import rollout_evidence
-    from magnoliacrank.state import move_table
     from magnoliacrank.state import term_keeper
 
-JOB = "moves"
+JOB = move_table.MOVES_JOB
 """Name of the singular job."""
 
 _TICK_S = 0.5
--- a/packages/state/tests/test_terms_and_moves.py
+++ b/packages/state/tests/test_terms_and_moves.py
@@ -9,6 +9,7 @@
 import pytest
 
 from magnoliacrank.model import configuration
+from magnoliacrank.model import crew
 from magnoliacrank.model import ids
 from magnoliacrank.model import instance
 from magnoliacrank.model import move
@@ -100,8 +101,9 @@
         )
 
     def send(self, evidence):
+        receivers = self.table.receivers(evidence)
         for peer in self.peers:
-            if peer is not self:
+            if peer.name in receivers:
                 peer.table.on_evidence(evidence)
 
     async def start(self):
@@ -142,6 +144,8 @@
     nodes = []
     for index in range(count):
         await Node(log, f"i{index}", nodes).start()
+    for service in ("s", "t"):
+        await fix_crew(nodes[0], service, nodes)
     traffic = asyncio.create_task(send_traffic(nodes, faulty))
     try:
         return await scenario(log, nodes)
@@ -151,6 +155,18 @@
             await node.close()
 
 
+async def fix_crew(node, service, members):
+    crews = node.state.crews
+    based_on = crews[service].number if service in crews else -1
+    record = records.CrewRecord(
+        service,
+        based_on,
+        tuple(crew.CrewMember(member.name, 1, "d") for member in members),
+        {},
+    )
+    await node.appender.append(record)
+
+
 async def begin_move(node, service="s", version=V2, deadline_s=300.0):
     base = node.state.version
     if node.state.configuration.find_service(service) is None:
@@ -253,6 +269,22 @@
     virtual_time.run(with_nodes(scenario, faulty={V2}))
 
 
+def test_holder_outside_the_crew_records_by_its_evidence():
+    async def scenario(_, nodes):
+        await asyncio.sleep(1)
+        holder = nodes[0].state.terms[moves.JOB].holder
+        others = [node for node in nodes if node.name != holder]
+        (outsider,) = [node for node in nodes if node.name == holder]
+        await fix_crew(nodes[0], "s", others)
+        outsider.table.on_sample = lambda *_: None
+        await begin_move(nodes[0])
+        await asyncio.sleep(60)
+        (notice,) = nodes[0].state.notices
+        assert notice.move.reason is move.Reason.ERRORS
+
+    virtual_time.run(with_nodes(scenario, faulty={V2}))
+
+
 def test_paused_holder_writes_nothing_under_its_old_term():
     async def scenario(_, nodes):
         await begin_move(nodes[0])
