Choose faster: candidates by group, no look at settled servers

Cause: choose() looked at every server of the data centre for a due trial, shuffled them all and worked out the slowness twice. Change: a group keeps its unsettled servers apart, candidates are visited by a random start and stride, version shares keep their sums. Router is split into Router and server_group. Tests hold reaction to a slowdown (a fifth of what random sends 50 to 500 ms after it), servers lost to a crash request and goodput at twice the capacity. A leaving server that is cold must not count as unsettled; the test for it was seen to fail without the condition.

--- a/bench/decisions/fake_server.py
+++ b/bench/decisions/fake_server.py
@@ -78,6 +78,7 @@
         self.listed = listed
         self.reports = Reports.HONEST
         self.slowdown = 1.0
+        self.slowed_s = math.inf
         self.fails_fast = False
         self.reports_limit = True
         self.crashes = 0
--- a/bench/decisions/measures.py
+++ b/bench/decisions/measures.py
@@ -31,9 +31,8 @@
     """Dispatches to a server that has been leaving for longer than 3 s."""
     doubles: int = 0
     """At-most-once calls that reached a server more than once and ran."""
-    over_slots: int = 0
-    """Requests that a warm server had to queue."""
-    reaction_ms: float | None = None
+    to_slow: int = 0
+    """Dispatches to a server that has been far slower for 50 to 500 ms."""
     latency: histogram.HdrHistogram = attrs.Factory(
         lambda: histogram.HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
     )
--- a/bench/decisions/runner.py
+++ b/bench/decisions/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 from typing import TYPE_CHECKING
 
 from bench.decisions import baselines
@@ -25,6 +26,7 @@
 _SETTLE_S = 0.5
 _CRASH_PERIOD_S = 0.2
 _IDLE_CONNECTIONS = 4
+_FAR_SLOWER = 5.0
 
 _Fake = fake_server.FakeServer
 _Act = Callable[[_Fake, scenario.Step], None]
@@ -32,6 +34,8 @@
 
 def _set_slowdown(fake: _Fake, step: scenario.Step) -> None:
     fake.slowdown = step.factor
+    if step.factor >= _FAR_SLOWER:
+        fake.slowed_s = step.at_s
 
 
 def _set_failing(fake: _Fake, _: scenario.Step) -> None:
@@ -48,6 +52,7 @@
 def _heal_all(fakes: list[_Fake]) -> None:
     for fake in fakes:
         fake.slowdown = 1.0
+        fake.slowed_s = math.inf
         fake.fails_fast = False
         fake.reports = fake_server.Reports.HONEST
 
--- a/bench/decisions/tests/test_promises.py
+++ b/bench/decisions/tests/test_promises.py
@@ -60,6 +60,27 @@
     assert got.probes <= _PROBES_PER_S * (got.duration_s + 1.0)
 
 
+@pytest.mark.parametrize("dimension", _SMALL)
+def test_slow_server_loses_work_within_tens_of_milliseconds(figures, dimension):
+    got = figures("sudden slowdown", dimension)
+    plain = _run("sudden slowdown", dimension, "random")
+    assert plain.to_slow >= 10
+    assert got.to_slow <= plain.to_slow / 5
+
+
+@pytest.mark.parametrize("dimension", _SMALL)
+def test_crash_request_costs_at_most_two_servers(figures, dimension):
+    assert figures("crash request", dimension).crashes <= 2
+
+
+@pytest.mark.parametrize("dimension", _SMALL)
+def test_overload_keeps_goodput_near_capacity(figures, dimension):
+    got = figures("overload", dimension)
+    one = _SIZES[dimension]
+    capacity_per_s = one.servers * one.slots / one.service_s
+    assert got.goodput >= 0.9 * capacity_per_s
+
+
 @pytest.mark.parametrize("policy", runner.POLICIES)
 def test_same_seed_gives_same_figures(policy):
     one, other = (
--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -32,6 +32,8 @@
 _CALLER_MOVES_S = 2.0
 _STALE_CALLERS = 0.1
 _DETECTION_S = 1.5
+_NOTICED_S = 0.05
+_OBSERVED_S = 0.5
 
 _IDEMPOTENT = request.RequestClass.IDEMPOTENT
 _CONFIRM = request.RequestClass.AT_MOST_ONCE
@@ -341,6 +343,8 @@
         now_s = self.time.now_s
         out_s = self._out_s.get(fake.listed.data_centre, now_s)
         leaving_s = self._leaving_s.get(fake.listed.server_id, now_s)
+        slow_s = now_s - fake.slowed_s
+        self.measures.to_slow += _NOTICED_S < slow_s < _OBSERVED_S
         self.measures.late_out += now_s - out_s > _OUT_BOUND_S
         self.measures.late_leaving += now_s - leaving_s > _OUT_BOUND_S
 
--- a/packages/policy/src/magnoliacrank/policy/route_latency.py
+++ b/packages/policy/src/magnoliacrank/policy/route_latency.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from magnoliacrank.policy import quantile_tracker
 
+if TYPE_CHECKING:
+    from magnoliacrank.model import ids
+
 _INITIAL_S = 0.02
 _LATE_FACTOR = 2.0
 
@@ -31,3 +36,22 @@
         """Takes in one served answer."""
         self._median.add(latency_s)
         self._tail.add(latency_s)
+
+
+class RouteLatencies:
+    """Usual latency by route and data centre.
+
+    The data centre is part of it, so that distance is no slowness.
+    """
+
+    def __init__(self) -> None:
+        self._latencies: dict[tuple[str, ids.DataCentre], RouteLatency] = {}
+
+    def of(self, route: str, data_centre: ids.DataCentre) -> RouteLatency:
+        """Returns the usual latency of a route in a data centre."""
+        key = (route, data_centre)
+        latency = self._latencies.get(key)
+        if latency is None:
+            latency = RouteLatency()
+            self._latencies[key] = latency
+        return latency
--- a/packages/policy/src/magnoliacrank/policy/router.py
+++ b/packages/policy/src/magnoliacrank/policy/router.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from typing import TYPE_CHECKING
-from typing import Protocol
-
-import attrs
 
 from magnoliacrank.model import ids
 from magnoliacrank.model import request
@@ -16,11 +12,13 @@
 from magnoliacrank.policy import probe_budget
 from magnoliacrank.policy import route_latency
 from magnoliacrank.policy import sample
+from magnoliacrank.policy import server_group
 from magnoliacrank.policy import server_state
 from magnoliacrank.policy import slot_messages
 from magnoliacrank.policy import version_shares
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
     from collections.abc import Sequence
@@ -30,49 +28,8 @@
 _PEERS_WEIGHT = 0.02
 _NOTHING: frozenset[ids.DataCentre] = frozenset()
 
-
-class SlotView(Protocol):
-    """What the router needs to know of the slots that an instance holds."""
-
-    def free(self, server_id: ids.ServerId, now_s: float) -> int:
-        """Returns how many requests may be dispatched to a server now."""
-        ...
-
-
-@attrs.frozen
-class RouterOptions:
-    """Constants of the choice."""
-
-    choices: int = 3
-    """Candidates compared for a request in a data centre."""
-
-    spill_cost: float = 4.0
-    """Cost of the best server at home from which others are compared."""
-
-    slow_ratio: float = 3.0
-    """Slowness from which a request waits for another server instead."""
-
-    panic_share: float = 0.5
-    """Share of ejected servers from which ejection is no longer obeyed."""
-
-
-@attrs.frozen
-class _Need:
-    """What one request needs of a server."""
-
-    route: str
-    request_class: request.RequestClass
-    excluded: Collection[ids.ServerId]
-    now_s: float
-    waited_s: float
-
-
-@attrs.define
-class _Group:
-    """Servers of one version: those in the own data centre and the others."""
-
-    local: list[server_state.ServerState] = attrs.Factory(list)
-    remote: list[server_state.ServerState] = attrs.Factory(list)
+SlotView = server_group.SlotView
+RouterOptions = server_group.RouterOptions
 
 
 class Router:
@@ -87,15 +44,15 @@
     ) -> None:
         self._own = own_data_centre
         self._slots = slots
-        self._rng = rng
         self._options = options or RouterOptions()
+        self._usual = route_latency.RouteLatencies()
+        self._search = server_group.CandidateSearch(
+            slots, rng, self._options, self._usual
+        )
         self._states: dict[ids.ServerId, server_state.ServerState] = {}
         self._out: frozenset[ids.DataCentre] = _NOTHING
-        self._groups: dict[ids.SoftwareVersion, _Group] = {}
+        self._groups: dict[ids.SoftwareVersion, server_group.ServerGroup] = {}
         self._shares: dict[str, version_shares.VersionShares] = {}
-        self._usual: dict[
-            tuple[str, ids.DataCentre], route_latency.RouteLatency
-        ] = {}
         self._failure_share = 0.0
         self._signs: dict[ids.ServerId, sample.ServerSign] = {}
         self._owned: frozenset[ids.ServerId] = frozenset()
@@ -163,9 +120,11 @@
             now_s: Monotonic time in seconds.
             waited_s: Seconds that the request has waited for a slot.
         """
-        need = _Need(route, request_class, excluded, now_s, waited_s)
+        need = server_group.Need(
+            route, request_class, excluded, now_s, waited_s
+        )
         for group in self._order(route, is_retry=bool(excluded)):
-            state = self._choose_in(group, need)
+            state = self._search.find(group, need)
             if state is not None:
                 return state.server.server_id
         return sample.NoServer(self._reason(excluded))
@@ -175,7 +134,7 @@
     ) -> sample.Dispatch:
         """Counts a request as sent and returns the handle of its end."""
         state = self._states[server_id]
-        usual = self._usual_of(route, state.server.data_centre)
+        usual = self._usual.of(route, state.server.data_centre)
         return state.on_dispatch(route, usual, now_s)
 
     def on_answer(
@@ -192,7 +151,7 @@
         if answer.report is not None:
             state.on_report(answer.report, own_in_flight, now_s)
         self._on_status(state, dispatch.route, answer, now_s)
-        self._note_sign(state)
+        self._note_change(state)
 
     def on_failure(
         self,
@@ -206,7 +165,7 @@
             return
         age_s = now_s - dispatch.started_s
         self._on_kind(state, kind, age_s / dispatch.expected_s, now_s)
-        self._note_sign(state)
+        self._note_change(state)
 
     def on_probe(
         self,
@@ -223,7 +182,7 @@
         elif outcome.report is not None:
             state.on_report(outcome.report, len(state.in_flight), now_s)
             state.on_probe_answer(now_s)
-        self._note_sign(state)
+        self._note_change(state)
 
     def set_owned(self, owned: Collection[ids.ServerId]) -> None:
         """Takes in which servers this instance measures for all."""
@@ -242,6 +201,7 @@
         state = self._states.get(sign.server_id)
         if state is not None:
             state.on_sign(sign, now_s)
+            self._note_change(state)
 
     def take_signs(self) -> tuple[sample.ServerSign, ...]:
         """Returns the signs to tell the crew since the last call."""
@@ -307,98 +267,24 @@
         state = self._states.get(server_id)
         return life.Life.GONE if state is None else state.life
 
-    def _order(self, route: str, *, is_retry: bool) -> Iterable[_Group]:
+    def _order(
+        self, route: str, *, is_retry: bool
+    ) -> Iterable[server_group.ServerGroup]:
         shares = self._shares.get(route)
         if shares is None:
             return self._groups.values()
         versions = shares.order(is_retry=is_retry)
         return [self._groups[v] for v in versions if v in self._groups]
 
-    def _choose_in(
-        self, group: _Group, need: _Need
-    ) -> server_state.ServerState | None:
-        if need.request_class is request.RequestClass.IDEMPOTENT:
-            trial = self._find_trial(group, need)
-            if trial is not None:
-                return trial
-        local, local_cost = self._cheapest(group.local, need)
-        if local is not None and local_cost < self._options.spill_cost:
-            return local
-        remote, remote_cost = self._cheapest(group.remote, need)
-        if local is None or remote is None:
-            return local or remote
-        local_s = local_cost * self._expected_s(need.route, local)
-        remote_s = remote_cost * self._expected_s(need.route, remote)
-        return local if local_s <= remote_s else remote
-
-    def _find_trial(
-        self, group: _Group, need: _Need
-    ) -> server_state.ServerState | None:
-        for state in group.local:
-            if not _is_due(state, need.now_s):
-                continue
-            server_id = state.server.server_id
-            if server_id in need.excluded:
-                continue
-            if self._slots.free(server_id, need.now_s) > 0:
-                return state
-        return None
-
-    def _cheapest(
-        self, states: list[server_state.ServerState], need: _Need
-    ) -> tuple[server_state.ServerState | None, float]:
-        best = None
-        best_cost = 0.0
-        seen = 0
-        obey = self._obeys_ejection(states)
-        for state in self._shuffled(states):
-            if obey and state.life is life.Life.SUSPECT:
-                continue
-            server_id = state.server.server_id
-            if server_id in need.excluded:
-                continue
-            if self._slots.free(server_id, need.now_s) <= 0:
-                continue
-            if self._is_too_slow(state, need):
-                continue
-            cost = state.cost(need.now_s)
-            if best is None or cost < best_cost:
-                best, best_cost = state, cost
-            seen += 1
-            if seen >= self._options.choices:
-                break
-        return best, best_cost
-
-    def _is_too_slow(
-        self, state: server_state.ServerState, need: _Need
-    ) -> bool:
-        slowness = state.slowness(need.now_s)
-        if slowness < self._options.slow_ratio:
-            return False
-        excess_s = (slowness - 1.0) * self._expected_s(need.route, state)
-        return excess_s > need.waited_s
-
-    def _shuffled(
-        self, states: list[server_state.ServerState]
-    ) -> Iterable[server_state.ServerState]:
-        count = len(states)
-        if count < 2:
-            return states
-        return self._rng.sample(states, count)
-
-    def _obeys_ejection(self, states: list[server_state.ServerState]) -> bool:
-        ejected = sum(s.life is life.Life.SUSPECT for s in states)
-        return ejected <= self._options.panic_share * len(states)
-
     def _candidates(self) -> Iterable[server_state.ServerState]:
         for group in self._groups.values():
-            for state in (*group.local, *group.remote):
+            for state in group:
                 if state.life in life.TAKES_WORK:
                     yield state
 
     def _reason(self, excluded: Collection[ids.ServerId]) -> verdict.Reason:
         for group in self._groups.values():
-            for state in (*group.local, *group.remote):
+            for state in group:
                 if state.server.server_id not in excluded:
                     return verdict.Reason.OVERLOADED
         return verdict.Reason.NO_SERVER
@@ -427,7 +313,7 @@
         elif answer.status is sample.AnswerStatus.ERROR:
             state.on_error(self._failure_share, now_s)
         else:
-            usual = self._usual_of(route, state.server.data_centre)
+            usual = self._usual.of(route, state.server.data_centre)
             state.on_served(answer.latency_s / usual.expected_s, now_s)
             usual.add(answer.latency_s)
 
@@ -450,23 +336,14 @@
         target = 1.0 if is_failure else 0.0
         self._failure_share += (target - self._failure_share) * _PEERS_WEIGHT
 
-    def _note_sign(self, state: server_state.ServerState) -> None:
+    def _note_change(self, state: server_state.ServerState) -> None:
+        group = self._groups.get(state.server.version)
+        if group is not None and state.server.data_centre not in self._out:
+            group.update(state)
         sign = state.take_news()
         if sign is not None:
             self._signs[sign.server_id] = sign
 
-    def _expected_s(self, route: str, state: server_state.ServerState) -> float:
-        return self._usual_of(route, state.server.data_centre).expected_s
-
-    def _usual_of(
-        self, route: str, data_centre: ids.DataCentre
-    ) -> route_latency.RouteLatency:
-        usual = self._usual.get((route, data_centre))
-        if usual is None:
-            usual = route_latency.RouteLatency()
-            self._usual[(route, data_centre)] = usual
-        return usual
-
     def _forget_gone(
         self, server_id: ids.ServerId, state: server_state.ServerState
     ) -> None:
@@ -481,12 +358,7 @@
                 continue
             if state.life in (life.Life.LEAVING, life.Life.GONE):
                 continue
-            group = self._groups.setdefault(backend.version, _Group())
-            is_local = backend.data_centre == self._own
-            (group.local if is_local else group.remote).append(state)
-
-
-def _is_due(state: server_state.ServerState, now_s: float) -> bool:
-    if state.life is life.Life.SUSPECT:
-        return state.may_try(now_s)
-    return state.wants_trickle(now_s)
+            group = self._groups.setdefault(
+                backend.version, server_group.ServerGroup()
+            )
+            group.add(state, is_local=backend.data_centre == self._own)
--- a/packages/policy/src/magnoliacrank/policy/server_state.py
+++ b/packages/policy/src/magnoliacrank/policy/server_state.py
@@ -90,11 +90,15 @@
         """Share of recent outcomes that were failures."""
         return self._outlier.failure_share
 
-    def cost(self, now_s: float) -> float:
-        """Returns the expected latency over the usual one, for ranking."""
+    def cost(self, slowness: float, now_s: float) -> float:
+        """Returns the expected latency over the usual one, for ranking.
+
+        Args:
+            slowness: What `slowness` returned for this time.
+            now_s: Monotonic time in seconds.
+        """
         load = len(self.in_flight) + self._load.others(now_s)
         success = max(_MIN_SUCCESS, 1.0 - self._outlier.failure_share)
-        slowness = self.slowness(now_s)
         return slowness * (1.0 + load / self.limit) / (success * success)
 
     def slowness(self, now_s: float) -> float:
--- a/packages/policy/src/magnoliacrank/policy/version_shares.py
+++ b/packages/policy/src/magnoliacrank/policy/version_shares.py
@@ -23,14 +23,16 @@
     def __init__(self, shares: Mapping[ids.SoftwareVersion, float]) -> None:
         self._shares = {name: part for name, part in shares.items() if part > 0}
         self._credits = dict.fromkeys(self._shares, 0.0)
+        self._total = sum(self._shares.values())
+        bound = min(_MAJORITY, max(self._shares.values(), default=0.0))
+        self._majority = tuple(
+            name for name, part in self._shares.items() if part >= bound
+        )
 
     @property
     def majority(self) -> tuple[ids.SoftwareVersion, ...]:
         """Versions that may take over the requests of another one."""
-        if not self._shares:
-            return ()
-        bound = min(_MAJORITY, max(self._shares.values()))
-        return tuple(v for v, part in self._shares.items() if part >= bound)
+        return self._majority
 
     def pick(self) -> ids.SoftwareVersion | None:
         """Returns the version for the next request, None when all are at 0."""
@@ -39,7 +41,7 @@
         for version, part in self._shares.items():
             self._credits[version] += part
         best = max(self._credits, key=self._credits.__getitem__)
-        self._credits[best] -= sum(self._shares.values())
+        self._credits[best] -= self._total
         return best
 
     def order(self, *, is_retry: bool) -> Iterable[ids.SoftwareVersion]:
@@ -48,9 +50,9 @@
         A version on a small share gets no more than it, neither from retries
         nor when the others are full.
         """
-        if is_retry:
-            return self.majority
+        if is_retry or len(self._shares) == 1:
+            return self._majority
         first = self.pick()
         if first is None:
             return ()
-        return (first, *(v for v in self.majority if v != first))
+        return (first, *(v for v in self._majority if v != first))
--- a/packages/policy/tests/test_router.py
+++ b/packages/policy/tests/test_router.py
@@ -122,6 +122,23 @@
     assert set(_chosen(routing, now_s)) == {"a2"}
 
 
+def test_choose_cold_leaving_server_gets_no_trickle():
+    routing = _router([_backend("a1"), _backend("a2")])
+    now_s = _warm(routing, ["a2"])
+    assert set(_chosen(routing, now_s, _IDEMPOTENT)) == {"a1"}
+    dispatch = routing.on_dispatch(ids.ServerId("a1"), _READ, now_s)
+    routing.set_servers(
+        [_backend("a1", state=server.ListedState.LEAVING), _backend("a2")],
+        now_s,
+    )
+    answer = sample.AnswerSample(0.005)
+    routing.on_sign(sample.ServerSign(ids.ServerId("a1"), 0, 1, True), now_s)
+    assert set(_chosen(routing, now_s + 1.0, _IDEMPOTENT)) == {"a2"}
+    routing.on_answer(dispatch, answer, now_s + 1.0)
+    routing._slots.used["a1"] = -1
+    assert set(_chosen(routing, now_s + 2.0, _IDEMPOTENT)) == {"a2"}
+
+
 @pytest.mark.parametrize(
     ("age_s", "expected"),
     [
