Measure the whole product as a way of the hop bench

Change: A further way starts an entry instance with its log and list beside it in one process and one backend server, and sends idempotent calls.

--- a/bench/hop/__main__.py
+++ b/bench/hop/__main__.py
@@ -7,6 +7,7 @@
 
 from bench.hop import generator
 from bench.hop import hops
+from bench.hop import product
 from bench.hop import report
 from bench.hop import workers
 from magnoliacrank.gateway import event_loop
@@ -15,6 +16,7 @@
     from collections.abc import Sequence
 
 _DIRECT = "direct"
+_WAYS = {**hops.WAYS, "product": product.start_product}
 _WARM_UP_S = 1.0
 
 
@@ -27,7 +29,7 @@
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--answer-bytes", type=int, default=512)
     parser.add_argument(
-        "--ways", default=",".join(hops.WAYS), help="hops, by comma"
+        "--ways", default=",".join(_WAYS), help="hops, by comma"
     )
     options = parser.parse_args(arguments)
     event_loop.run(_measure(options))
@@ -41,7 +43,7 @@
         backend_port=backend.port, answer_bytes=options.answer_bytes
     )
     started = {
-        name: workers.Worker(hops.WAYS[name], settings)
+        name: workers.Worker(_WAYS[name], settings)
         for name in options.ways.split(",")
     }
     ways = [generator.Way(_DIRECT, backend.port)]
