Tell the router how long a request has waited for a slot

Cause: The router leaves a slow server alone while waiting costs less, but was always told that a request had waited for no time. With one server in the plan a raised alarm then stopped its service for seconds: nothing was in flight, so nothing freed a slot either.

Ruled out: A stall of the event loop; a monitor on it saw none above 10 ms.

Change: The dispatcher tells the time waited and asks again every 5 ms.

--- a/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
+++ b/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
@@ -28,6 +28,7 @@
 
 _KEPT_BODY_BYTES = 64 * 1024
 _WORK_AFTER_DEADLINE_S = 1.0
+_RECHECK_S = 0.005
 _MS_PER_S = 1000.0
 _NO_RETRY = "no"
 _MAX_RETRIES = 2
@@ -139,8 +140,10 @@
         self, journey: _Journey, runtime: service_runtime.ServiceRuntime
     ) -> service_runtime.Reservation | verdict.Verdict:
         deadline_s = journey.wanted.deadline_s
+        started_s = self._clock()
         while True:
-            found = runtime.reserve(journey.wanted, journey.excluded)
+            waited_s = self._clock() - started_s
+            found = runtime.reserve(journey.wanted, journey.excluded, waited_s)
             if not isinstance(found, sample.NoServer):
                 return found
             left_s = deadline_s - self._clock()
@@ -148,7 +151,7 @@
                 return verdict.not_run(found.reason)
             if left_s <= 0:
                 return verdict.not_run(verdict.Reason.DEADLINE_EXPIRED)
-            await runtime.slot_freed(left_s)
+            await runtime.slot_freed(min(left_s, _RECHECK_S))
 
     async def _attempt(
         self,
--- a/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
@@ -164,19 +164,25 @@
         self,
         wanted: request.Request,
         excluded: Collection[ids.ServerId],
+        waited_s: float = 0.0,
     ) -> Reservation | sample.NoServer:
         """Chooses a backend server and takes a slot on it.
 
         Args:
             wanted: The request.
             excluded: Servers that it must not go to.
+            waited_s: Seconds for which it has waited so far.
 
         Returns:
             The reservation, to be ended, or why there is none.
         """
         now_s = self._clock()
         chosen = self._router.choose(
-            wanted.route, wanted.request_class, excluded, now_s
+            wanted.route,
+            wanted.request_class,
+            excluded,
+            now_s,
+            waited_s=waited_s,
         )
         if not isinstance(chosen, str):
             return chosen
