--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Slopes for the capacity page: what one more of each thing costs."""
+"""Slopes of cost by size, for docs/CAPACITY.md."""
