Believe a member that settled only under the same crew record

Cause: a member's share fell in one record and rose in the next. A member that knew only the first took the statement under the second, that it held no more than its share, for a promise under the first, and used its slot too. Change: a statement counts under the record that both know; likewise the word that no older owner is left.

--- a/packages/policy/src/magnoliacrank/policy/crew_view.py
+++ b/packages/policy/src/magnoliacrank/policy/crew_view.py
@@ -164,7 +164,8 @@
         self._note_aware(message.sender, message.crew_number, now_s)
         for former in self._formers:
             former.note_settled(message)
-        if message.is_settled and message.crew_number >= self._blind_number:
+        is_known = self._blind_number <= message.crew_number <= self.number
+        if message.is_settled and is_known:
             self._blind_until_s = min(self._blind_until_s, now_s)
 
     def checks(self, now_s: float) -> list[slot_messages.Outgoing]:
--- a/packages/policy/src/magnoliacrank/policy/former_crew.py
+++ b/packages/policy/src/magnoliacrank/policy/former_crew.py
@@ -72,8 +72,12 @@
             self._newer_s = now_s
 
     def note_settled(self, state: slot_messages.CrewState) -> None:
-        """Notes where a member occupies no more than its newer share."""
-        if self._successor is None or state.crew_number < self._successor:
+        """Notes where a member occupies no more than its newer share.
+
+        What it says under a still newer record does not count here, since
+        its share may have grown again there.
+        """
+        if state.crew_number != self._successor:
             return
         over = set(state.over_share)
         for server_id in list(self._unsettled):
--- a/packages/policy/tests/test_slot_histories.py
+++ b/packages/policy/tests/test_slot_histories.py
@@ -448,6 +448,11 @@
     assert any(_run(seed).violations() for seed in range(60))
 
 
+def test_share_that_fell_and_rose_again_is_not_taken_for_settled():
+    """A member at the record between must not trust the newer statement."""
+    assert _run(1195, 3 * _STEPS).violations() == ()
+
+
 @pytest.mark.histories
 @pytest.mark.parametrize("block", range(_LONG_BLOCKS))
 def test_long_random_histories_keep_the_limits(block):
