Keep requests that crash servers apart; plan crews by the policy

Cause: a request that kills each server that runs it was retried and could be sent again anywhere; crews were all live instances, in an order of their own. Change: a guard for each service tells the crew of a server's death before any caller is answered; a suspect is run by one owner, then refused. Crews come from the planner with its hysteresis and majority rule, entries from the policy's order. Conclusion: the policy's suspects and crews are in force on the request path.

--- a/bench/decisions/product.py
+++ b/bench/decisions/product.py
@@ -85,7 +85,7 @@
         self._admission = admission.Admission(allowance_meter.AllowanceMeter())
         self._retries = retry_budget.RetryBudget()
         self._suspects = crash_suspects.CrashSuspects(
-            self._own, settle_s=_SETTLE_S
+            self._own, ids.ServiceName("service"), settle_s=_SETTLE_S
         )
         self._suspects.set_members(self.slots.owner_names, 0.0)
         self._journeys: dict[fair_queue.Place, Journey] = {}
--- a/packages/cli/src/magnoliacrank/cli/entry_parts.py
+++ b/packages/cli/src/magnoliacrank/cli/entry_parts.py
@@ -165,6 +165,9 @@
         entry_ttl_s=options.entry_ttl_s,
         clock=clock,
     )
+    proposals = crew_proposals.CrewProposals(
+        own.instance_id, services, membership, clock
+    )
     listed = http_instance_list.HttpInstanceList(options.instances_url)
     # The services of a configuration have to exist before their shares come.
     state_link.StateLink(follower, services).register()
@@ -205,7 +208,14 @@
             _OnClose(services.close),
             listed,
             listing_task.ListingTask(
-                listed, services, membership, moves, options.list_period_s
+                listed,
+                (
+                    lambda listing: services.set_servers(listing.servers),
+                    membership.update_listing,
+                    moves.on_listing,
+                    proposals.on_listing,
+                ),
+                options.list_period_s,
             ),
             periodic_task.PeriodicTask(
                 "slots", _TICK_S, _ticker(follower, services, membership, link)
@@ -215,9 +225,7 @@
                 moves, term, writer, send_evidence=link.send_evidence
             ),
             snapshot_writer.SnapshotWriter(follower, writer, clock=clock),
-            crew_keeper.CrewKeeper(
-                crew_proposals.CrewProposals(services, membership).due, writer
-            ),
+            crew_keeper.CrewKeeper(proposals.due, writer),
         ),
     )
 
--- a/packages/cli/src/magnoliacrank/cli/listing_task.py
+++ b/packages/cli/src/magnoliacrank/cli/listing_task.py
@@ -11,9 +11,8 @@
 from magnoliacrank.platform import instance_list
 
 if TYPE_CHECKING:
-    from magnoliacrank.gateway import service_directory
-    from magnoliacrank.peers import membership_task
-    from magnoliacrank.state import move_table
+    from collections.abc import Callable
+    from collections.abc import Sequence
 
 _LOG_PERIOD_S = 10
 
@@ -23,24 +22,18 @@
 
     Args:
         source: The platform's list.
-        services: Takes the backend servers.
-        membership: Takes the entry instances.
-        moves: Takes the slots of each version.
+        takers: Take each list that differs from the one before.
         period_s: Seconds between two reads.
     """
 
     def __init__(
         self,
         source: instance_list.InstanceList,
-        services: service_directory.ServiceDirectory,
-        membership: membership_task.MembershipTask,
-        moves: move_table.MoveTable,
+        takers: Sequence[Callable[[instance.Listing], None]],
         period_s: float,
     ) -> None:
         self._source = source
-        self._services = services
-        self._membership = membership
-        self._moves = moves
+        self._takers = takers
         self._seen = instance.Listing()
         self._task = periodic_task.PeriodicTask("list", period_s, self._read)
 
@@ -66,6 +59,5 @@
         if listing == self._seen:
             return
         self._seen = listing
-        self._services.set_servers(listing.servers)
-        self._membership.update_listing(listing)
-        self._moves.on_listing(listing)
+        for take in self._takers:
+            take(listing)
--- a/packages/cli/tests/test_entry_process.py
+++ b/packages/cli/tests/test_entry_process.py
@@ -9,6 +9,7 @@
 from magnoliacrank.cli import demo_world
 from magnoliacrank.model import request
 from magnoliacrank.model import verdict
+from magnoliacrank.standins import backend_server
 from magnoliacrank.standins import caller
 
 _DONE = verdict.Outcome.DONE
@@ -90,3 +91,23 @@
     assert first.outcome is _DONE
     assert [one for one in results if one.outcome is not _DONE] == []
     assert not world.journal.doubled_keys()
+
+
+async def test_crash_request_costs_at_most_two_servers(world):
+    one = _caller(world)
+    await one.start()
+    warm = caller.Wanted("GET", "/stops/1", request.RequestClass.IDEMPOTENT)
+    assert (await one.send(warm)).outcome is _DONE
+    deadly = caller.Wanted(
+        "GET",
+        "/stops/2",
+        request.RequestClass.IDEMPOTENT,
+        headers={backend_server.CRASH_HEADER: "1"},
+    )
+    results = [await one.send(deadly) for _ in range(3)]
+    crashes = sum(server.crashes for server in world.servers.values())
+    after = await one.send(warm)
+    await one.close()
+    assert crashes <= 2
+    assert results[-1].reason == verdict.Reason.CRASH_SUSPECT.value
+    assert after.outcome is _DONE
--- a/packages/gateway/src/magnoliacrank/gateway/crew_forwarder.py
+++ b/packages/gateway/src/magnoliacrank/gateway/crew_forwarder.py
@@ -17,6 +17,7 @@
     from magnoliacrank.gateway import inbound_exchange
     from magnoliacrank.gateway import peer_directory
     from magnoliacrank.gateway import service_runtime
+    from magnoliacrank.model import ids
     from magnoliacrank.model import instance
 
 _PASSED_ON = frozenset(
@@ -57,6 +58,7 @@
         content: bytes | body.BodySource,
         deadline_s: float,
         *,
+        owner: ids.InstanceId | None = None,
         is_delegated: bool = False,
     ) -> Forwarded:
         """Passes a request on until a member may have run it.
@@ -66,10 +68,11 @@
             runtime: The service.
             content: Body; a streamed one goes to one member only.
             deadline_s: Monotonic time in seconds.
+            owner: The only member that may run it, or None for any.
             is_delegated: Whether this instance owns the request's key.
         """
         result = verdict.not_run(verdict.Reason.NOT_READY)
-        for peer in self._candidates(runtime):
+        for peer in self._candidates(runtime, owner):
             received = await self._forwards.send(
                 exchange,
                 peer,
@@ -89,13 +92,16 @@
         return result
 
     def _candidates(
-        self, runtime: service_runtime.ServiceRuntime
+        self,
+        runtime: service_runtime.ServiceRuntime,
+        owner: ids.InstanceId | None,
     ) -> list[instance.EntryInstance]:
         if runtime.crew is None:
             return []
         found = [
             self._peers.find(member.instance_id)
             for member in runtime.crew.members
+            if owner is None or member.instance_id == owner
         ]
         others = [
             peer
--- a/packages/gateway/src/magnoliacrank/gateway/crew_proposals.py
+++ b/packages/gateway/src/magnoliacrank/gateway/crew_proposals.py
@@ -4,12 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliacrank.model import crew
-from magnoliacrank.model import server
+from magnoliacrank.policy import crew_planner
 from magnoliacrank.state import records
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from magnoliacrank.gateway import peer_directory
@@ -18,64 +17,68 @@
     from magnoliacrank.model import ids
     from magnoliacrank.model import instance
 
-_NO_CREW = -1
-
 
 class CrewProposals:
     """Compares the crews in force with those that the members allow.
 
     Args:
+        own_id: Name of this instance.
         services: Services of this instance.
         peers: Live instances.
+        clock: Monotonic time in seconds.
     """
 
     def __init__(
         self,
+        own_id: ids.InstanceId,
         services: service_directory.ServiceDirectory,
         peers: peer_directory.PeerDirectory,
+        clock: Callable[[], float],
     ) -> None:
+        self._planner = crew_planner.CrewPlanner(own_id)
         self._services = services
         self._peers = peers
+        self._clock = clock
+        self._listed = 0
+
+    def on_listing(self, listing: instance.Listing) -> None:
+        """Takes a newer answer of the instance list."""
+        self._listed = len(listing.instances)
 
     def due(self) -> Sequence[records.CrewRecord]:
         """Returns the records that are due."""
-        live = [
-            one
-            for one in self._peers.members
-            if one.state is server.ListedState.LIVE
-            and self._services.lists.is_in(one.data_centre)
-        ]
-        found = (self._propose(one, live) for one in self._services.services)
+        is_in = self._services.lists.is_in
+        live = [one for one in self._peers.members if is_in(one.data_centre)]
+        out = len(self._peers.members) - len(live)
+        candidates = crew_planner.Candidates(
+            live=tuple(live), listed=max(0, self._listed - out)
+        )
+        found = (
+            self._propose(one, candidates) for one in self._services.services
+        )
         return [record for record in found if record is not None]
 
     def _propose(
         self,
         runtime: service_runtime.ServiceRuntime,
-        live: Sequence[instance.EntryInstance],
+        candidates: crew_planner.Candidates,
     ) -> records.CrewRecord | None:
-        servers = self._services.servers_of(runtime.name)
-        members = tuple(
-            crew.CrewMember(one.instance_id, one.incarnation, one.data_centre)
-            for one in sorted(live, key=lambda each: each.instance_id)
+        is_in = self._services.lists.is_in
+        need = crew_planner.CrewNeed(
+            service=runtime.name,
+            servers=tuple(
+                one
+                for one in self._services.servers_of(runtime.name)
+                if is_in(one.data_centre)
+            ),
+            current=runtime.crew,
         )
-        if not members or not servers:
+        proposal = self._planner.propose(need, candidates, self._clock())
+        if proposal is None:
             return None
-        shares = {one.server_id: _share(one, members) for one in servers}
-        current = runtime.crew
-        if current is not None and (
-            current.members == members and current.shares == shares
-        ):
-            return None
-        number = _NO_CREW if current is None else current.number
-        return records.CrewRecord(runtime.name, number, members, shares)
-
-
-def _share(
-    backend: server.BackendServer, members: Sequence[crew.CrewMember]
-) -> Mapping[ids.InstanceId, int]:
-    near = [m for m in members if m.data_centre == backend.data_centre]
-    owners = near or list(members)
-    shares = {one.instance_id: 0 for one in owners}
-    for index in range(backend.slots):
-        shares[owners[index % len(owners)].instance_id] += 1
-    return {name: count for name, count in shares.items() if count}
+        return records.CrewRecord(
+            service=proposal.service,
+            based_on=proposal.based_on,
+            members=proposal.members,
+            shares=proposal.shares,
+        )
--- a/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
+++ b/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import hashlib
 from typing import TYPE_CHECKING
 
 import attrs
@@ -23,6 +24,8 @@
 from magnoliacrank.model import ids
 from magnoliacrank.model import request
 from magnoliacrank.model import verdict
+from magnoliacrank.policy import crash_messages
+from magnoliacrank.policy import crash_suspects
 from magnoliacrank.policy import retry
 from magnoliacrank.policy import sample
 
@@ -32,6 +35,7 @@
 
 _WORK_AFTER_DEADLINE_S = 1.0
 _MS_PER_S = 1000.0
+_DIGEST_BYTES = 16
 _DROPPED = frozenset(
     name.lower()
     for name in (
@@ -60,6 +64,14 @@
     NOT_HERE = enum.auto()
 
 
+@attrs.frozen
+class OwnedBy:
+    """Another instance alone may run the request, which was not dispatched."""
+
+    instance_id: ids.InstanceId
+    """Name of that instance."""
+
+
 NOT_HERE = NotHere.NOT_HERE
 """The request was not dispatched; a member of the crew can carry it."""
 
@@ -67,7 +79,7 @@
     answer_relay.Delivered | verdict.Verdict | exchange_failure.ExchangeFailure
 )
 
-Result = answer_relay.Delivered | verdict.Verdict | NotHere
+Result = answer_relay.Delivered | verdict.Verdict | NotHere | OwnedBy
 """What became of a request."""
 
 
@@ -87,6 +99,14 @@
         """The request without its body."""
         return self.routed.request
 
+    def fingerprint(self) -> crash_messages.Fingerprint:
+        """Returns what names the request by its content."""
+        wanted = self.wanted
+        digest = wanted.digest or digest_request(self.exchange, self.content)
+        return crash_messages.Fingerprint(
+            wanted.customer, wanted.service, digest
+        )
+
     @property
     def is_retry_forbidden(self) -> bool:
         """Whether a level above forbade retries."""
@@ -143,13 +163,29 @@
 
     async def _run(
         self, journey: _Journey, runtime: service_runtime.ServiceRuntime
+    ) -> Result:
+        decision = runtime.suspects.decide(journey.fingerprint)
+        if isinstance(decision, crash_suspects.SuspectRefused):
+            return decision.verdict
+        if isinstance(decision, crash_suspects.ForwardTo):
+            return OwnedBy(decision.owner)
+        result = await self._run_attempts(journey, runtime)
+        if isinstance(decision, crash_suspects.RunSingly):
+            runtime.suspects.finish_single(
+                journey.fingerprint,
+                is_survived=isinstance(result, answer_relay.Delivered),
+            )
+        return result
+
+    async def _run_attempts(
+        self, journey: _Journey, runtime: service_runtime.ServiceRuntime
     ) -> Result:
         runtime.retries.on_first_attempt(self._clock())
         while True:
             reservation = await self._reserve(journey, runtime)
             if not isinstance(reservation, service_runtime.Reservation):
                 return reservation
-            result = await self._attempt(journey, runtime, reservation)
+            result = await self._attempt_watched(journey, runtime, reservation)
             if not isinstance(result, exchange_failure.ExchangeFailure):
                 return result
             journey.attempts += 1
@@ -161,6 +197,26 @@
                 await asyncio.sleep(again.pause_s)
                 journey.excluded.clear()
 
+    async def _attempt_watched(
+        self,
+        journey: _Journey,
+        runtime: service_runtime.ServiceRuntime,
+        reservation: service_runtime.Reservation,
+    ) -> _Attempted:
+        """Makes an attempt; tells the crew when the server died in it."""
+        server_id = reservation.dispatch.server_id
+        fingerprint = journey.fingerprint
+        runtime.suspects.begin(server_id, fingerprint)
+        try:
+            result = await self._attempt(journey, runtime, reservation)
+            if _is_death(result):
+                await runtime.suspects.on_server_died(
+                    server_id, runtime.router.incarnation(server_id)
+                )
+            return result
+        finally:
+            runtime.suspects.end(server_id, fingerprint)
+
     async def _reserve(
         self, journey: _Journey, runtime: service_runtime.ServiceRuntime
     ) -> service_runtime.Reservation | verdict.Verdict | NotHere:
@@ -286,12 +342,32 @@
             verdict=failure.verdict,
             attempts=journey.attempts,
             tried=frozenset(journey.excluded),
+            is_suspect=runtime.suspects.is_suspect(journey.fingerprint),
             is_forbidden=journey.is_retry_forbidden,
         )
         again = retry.decide(failed, runtime.retries, self._clock())
         return again if isinstance(again, retry.Retry) else None
 
 
+def digest_request(
+    exchange: inbound_exchange.InboundExchange,
+    content: bytes | body.BodySource,
+) -> bytes:
+    """Returns the digest of a request's method, target and held body."""
+    head = f"{exchange.method} {exchange.target}\n".encode()
+    whole = hashlib.blake2b(head, digest_size=_DIGEST_BYTES)
+    if isinstance(content, bytes):
+        whole.update(content)
+    return whole.digest()
+
+
+def _is_death(result: _Attempted) -> bool:
+    return (
+        isinstance(result, exchange_failure.ExchangeFailure)
+        and result.kind is exchange_failure.FailureKind.CONNECTION_LOST
+    )
+
+
 def _answer_fields(received: answers.Answer) -> list[tuple[str, str]]:
     fields = framing.end_to_end(received.headers)
     fields.append((headers.VERDICT, verdict.Outcome.DONE.value))
--- a/packages/gateway/src/magnoliacrank/gateway/entry_handler.py
+++ b/packages/gateway/src/magnoliacrank/gateway/entry_handler.py
@@ -13,6 +13,7 @@
 from magnoliacrank.model import headers
 from magnoliacrank.model import ids
 from magnoliacrank.model import verdict
+from magnoliacrank.policy import entry_order
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -25,7 +26,6 @@
     from magnoliacrank.gateway import key_guard
     from magnoliacrank.gateway import peer_directory
     from magnoliacrank.gateway import service_directory
-    from magnoliacrank.model import crew
     from magnoliacrank.model import instance
 
 _FORWARD_TIMEOUT_S = 1.0
@@ -108,10 +108,11 @@
         if runtime is None or runtime.crew is None:
             await _refuse(exchange, verdict.Reason.UNKNOWN_SERVICE)
             return
-        entries = _order(
+        entries = entry_order.order_entries(
             runtime.crew,
-            self._peers,
-            query.get("data_centre", self._own.data_centre),
+            self._live(),
+            ids.DataCentre(query.get("data_centre", self._own.data_centre)),
+            query.get("caller", str(exchange.received_s)),
         )
         if headers.FORWARDED_BY not in exchange.headers:
             for peer in entries:
@@ -121,6 +122,12 @@
                     return
         await self._answer_entries(exchange, name, entries)
 
+    def _live(self) -> list[instance.EntryInstance]:
+        lists = self._services.lists
+        return [
+            one for one in self._peers.members if lists.is_in(one.data_centre)
+        ]
+
     async def _ask(
         self,
         exchange: inbound_exchange.InboundExchange,
@@ -212,11 +219,3 @@
     exchange: inbound_exchange.InboundExchange, status: int, document: object
 ) -> None:
     await exchange.answer(status, [_JSON], msgspec.json.encode(document))
-
-
-def _order(
-    record: crew.Crew, peers: peer_directory.PeerDirectory, data_centre: str
-) -> tuple[instance.EntryInstance, ...]:
-    found = [peers.find(member.instance_id) for member in record.members]
-    live = [one for one in found if one is not None]
-    return tuple(sorted(live, key=lambda one: one.data_centre != data_centre))
--- a/packages/gateway/src/magnoliacrank/gateway/peer_link.py
+++ b/packages/gateway/src/magnoliacrank/gateway/peer_link.py
@@ -7,16 +7,17 @@
 
 import attrs
 
+from magnoliacrank.policy import crash_messages
 from magnoliacrank.policy import rollout_evidence
 from magnoliacrank.policy import sample
 from magnoliacrank.policy import slot_messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from magnoliacrank.gateway import service_directory
     from magnoliacrank.gateway import service_runtime
+    from magnoliacrank.gateway import suspect_guard
     from magnoliacrank.model import instance
     from magnoliacrank.peers import messenger
     from magnoliacrank.peers import server
@@ -41,6 +42,14 @@
 """Kinds of messages between slot ledgers."""
 
 
+_SUSPECT_MESSAGES: tuple[tuple[str, type[Any]], ...] = (
+    ("crash", crash_messages.CrashNotice),
+    ("crash-known", crash_messages.CrashNoticeReceipt),
+    ("cleared", crash_messages.SuspectCleared),
+)
+"""Kinds of messages about requests that crash backend servers."""
+
+
 class PeerLink:
     """Sends and takes the messages of slots and of server states.
 
@@ -68,9 +77,11 @@
 
     def register(self) -> None:
         """Takes the messages from now on."""
-        self._services.outbox = self._send
+        self._services.send = self._messages.send
         for kind, message_type in _SLOT_MESSAGES:
             self._messages.register(kind, message_type, self._on_slot)
+        for kind, suspect_type in _SUSPECT_MESSAGES:
+            self._messages.register(kind, suspect_type, self._on_suspect)
         self._messages.register("signs", ServerSigns, self._on_signs)
         self._messages.register(
             "evidence", rollout_evidence.Evidence, self._on_evidence
@@ -89,10 +100,6 @@
             if tracker.move.move_id == evidence.move_id and runtime is not None:
                 self._send_crew(runtime, evidence)
 
-    def _send(self, outgoing: Iterable[slot_messages.Outgoing]) -> None:
-        for one in outgoing:
-            self._messages.send(one.to, one.message)
-
     def _send_signs(self, runtime: service_runtime.ServiceRuntime) -> None:
         signs = runtime.router.take_signs()
         if not signs:
@@ -130,3 +137,11 @@
         runtime = self._services.find(message.service)
         if runtime is not None:
             runtime.on_slot_message(message)
+
+    def _on_suspect(
+        self, sender: server.PeerSender, message: suspect_guard.Message
+    ) -> None:
+        del sender
+        runtime = self._services.find(message.service)
+        if runtime is not None:
+            runtime.suspects.on_message(message)
--- a/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
+++ b/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import time
 from typing import TYPE_CHECKING
 
@@ -31,10 +30,16 @@
 
 _KEYED_BODY_BYTES = 1024 * 1024
 _HELD_BODY_BYTES = 64 * 1024
-_DIGEST_BYTES = 16
 _STATUS_NO_CONTENT = 204
 
 
+_REFUSED_HERE = {
+    dispatcher.NotHere: verdict.not_run(verdict.Reason.NOT_READY),
+    dispatcher.OwnedBy: verdict.not_run(verdict.Reason.CRASH_SUSPECT),
+}
+"""Verdicts on a request that was passed on here and would have to go on."""
+
+
 @attrs.frozen
 class Collaborators:
     """What the carrier works with."""
@@ -130,15 +135,19 @@
         result = await self._parts.dispatches.dispatch(
             exchange, routed, runtime, content
         )
-        if not isinstance(result, dispatcher.NotHere):
+        if not isinstance(result, dispatcher.NotHere | dispatcher.OwnedBy):
             return result
         if headers.FORWARDED_BY in exchange.headers:
-            return verdict.not_run(verdict.Reason.NOT_READY)
+            return _REFUSED_HERE[type(result)]
+        owner = None
+        if isinstance(result, dispatcher.OwnedBy):
+            owner = result.instance_id
         return await self._parts.crews.forward(
             exchange,
             runtime,
             content,
             routed.request.deadline_s,
+            owner=owner,
             is_delegated=is_delegated,
         )
 
@@ -159,7 +168,7 @@
             return await self._forward_to_owner(
                 exchange, routed, owner, content
             )
-        digest = _digest(exchange, content)
+        digest = dispatcher.digest_request(exchange, content)
         typed = attrs.evolve(routed.request, digest=digest)
         routed = attrs.evolve(routed, request=typed)
         return await self._run_keyed(exchange, routed, content)
@@ -256,15 +265,6 @@
     return content
 
 
-def _digest(
-    exchange: inbound_exchange.InboundExchange, content: bytes
-) -> bytes:
-    head = f"{exchange.method} {exchange.target}\n".encode()
-    whole = hashlib.blake2b(head, digest_size=_DIGEST_BYTES)
-    whole.update(content)
-    return whole.digest()
-
-
 def _is_once(routed: request_reader.RoutedRequest) -> bool:
     return routed.request.request_class is request.RequestClass.AT_MOST_ONCE
 
--- a/packages/gateway/src/magnoliacrank/gateway/service_directory.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_directory.py
@@ -8,6 +8,7 @@
 from magnoliacrank.gateway import routing_table
 from magnoliacrank.gateway import sample_tap
 from magnoliacrank.gateway import service_runtime
+from magnoliacrank.gateway import suspect_guard
 from magnoliacrank.model import configuration
 from magnoliacrank.model import ids
 from magnoliacrank.model import server
@@ -45,8 +46,8 @@
     ) -> None:
         self.samples = sample_tap.SampleTap()
         """Where the outcomes of all dispatches go."""
-        self.outbox: service_runtime.Outbox = _discard
-        """Sends messages to other members of the crews; set by its owner."""
+        self.send: suspect_guard.Send = _discard
+        """Sends a message to another instance; set by its owner."""
         self._own = own
         self._rng = rng
         self._clock = clock
@@ -163,13 +164,18 @@
             self._own,
             self._allowances,
             self.samples,
-            self.outbox,
+            self._send_all,
+            self.send,
             self._rng,
             self._clock,
         )
         runtime.set_servers(self.servers_of(name))
         self._services[name] = runtime
 
+    def _send_all(self, outgoing: Sequence[slot_messages.Outgoing]) -> None:
+        for one in outgoing:
+            self.send(one.to, one.message)
+
     def _remove(self, name: ids.ServiceName) -> None:
         task = asyncio.ensure_future(self._services.pop(name).close())
         self._closing.add(task)
@@ -190,6 +196,7 @@
             runtime.router.set_data_centres_out(out)
 
 
-def _discard(outgoing: Sequence[slot_messages.Outgoing]) -> None:
+def _discard(instance_id: ids.InstanceId, message: object) -> bool:
     """Stands in until there is a way to send messages."""
-    del outgoing
+    del instance_id, message
+    return False
--- a/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
@@ -13,6 +13,7 @@
 from magnoliacrank.gateway import server_pool
 from magnoliacrank.gateway import server_pools
 from magnoliacrank.gateway import slot_waiters
+from magnoliacrank.gateway import suspect_guard
 from magnoliacrank.model import ids
 from magnoliacrank.model import verdict
 from magnoliacrank.policy import admission
@@ -68,6 +69,7 @@
         allowances: Meter of the customers' allowances.
         samples: Takes the outcome of each dispatch.
         outbox: Sends messages to other members of the crew.
+        send: Sends one message to another instance.
         rng: Source of randomness for sampling.
         clock: Monotonic time in seconds.
     """
@@ -79,6 +81,7 @@
         allowances: allowance_meter.AllowanceMeter,
         samples: sample_tap.SampleTap,
         outbox: Outbox,
+        send: suspect_guard.Send,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
@@ -97,6 +100,9 @@
         self._crew: crew_model.Crew | None = None
         self._waiters = slot_waiters.SlotWaiters()
         self._retries = retry_budget.RetryBudget()
+        self._suspects = suspect_guard.SuspectGuard(
+            own.instance_id, name, send, clock
+        )
 
     @property
     def name(self) -> ids.ServiceName:
@@ -118,6 +124,11 @@
         """Where requests wait for their turn."""
         return self._gate
 
+    @property
+    def suspects(self) -> suspect_guard.SuspectGuard:
+        """Requests that crash backend servers."""
+        return self._suspects
+
     @property
     def retries(self) -> retry_budget.RetryBudget:
         """Budget of retries for this service."""
@@ -162,6 +173,7 @@
         now_s = self._clock()
         self._crew = record
         self._ledger.set_crew(record, now_s)
+        self._suspects.set_crew(record)
         self._refresh(now_s)
         if not self.is_member:
             self._gate.dismiss()
--- a/packages/policy/src/magnoliacrank/policy/crash_messages.py
+++ b/packages/policy/src/magnoliacrank/policy/crash_messages.py
@@ -36,6 +36,9 @@
 class CrashNotice:
     """Tells which requests were running when a backend server died."""
 
+    service: ids.ServiceName
+    """Service of the backend server."""
+
     sender: ids.InstanceId
     """Who saw it."""
 
@@ -50,6 +53,9 @@
 class CrashNoticeReceipt:
     """Confirms a notice."""
 
+    service: ids.ServiceName
+    """Service of the backend server."""
+
     sender: ids.InstanceId
     """Who knows of the death."""
 
@@ -61,6 +67,9 @@
 class SuspectCleared:
     """Tells that a suspect ran to its end on a backend server that lived."""
 
+    service: ids.ServiceName
+    """Service of the request."""
+
     sender: ids.InstanceId
     """Who ran it."""
 
--- a/packages/policy/src/magnoliacrank/policy/crash_suspects.py
+++ b/packages/policy/src/magnoliacrank/policy/crash_suspects.py
@@ -85,20 +85,33 @@
 class CrashSuspects:
     """Suspects as one member of a crew knows them."""
 
-    def __init__(self, own: ids.InstanceId, *, settle_s: float) -> None:
+    def __init__(
+        self,
+        own: ids.InstanceId,
+        service: ids.ServiceName,
+        *,
+        settle_s: float,
+    ) -> None:
         """Starts without suspects.
 
         Args:
             own: Own instance.
+            service: Service of the requests.
             settle_s: Seconds after a change of the crew in which nobody runs
                 a suspect, so that a former owner's copy has ended.
         """
         self._own = own
+        self._service = service
         self._settle_s = settle_s
         self._members: frozenset[ids.InstanceId] = frozenset()
         self._settled_s = 0.0
         self._suspects: dict[crash_messages.Fingerprint, _Suspect] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether there are no suspects."""
+        return not self._suspects
+
     def set_members(
         self, members: Collection[ids.InstanceId], now_s: float
     ) -> None:
@@ -163,7 +176,9 @@
             What every member must confirm before the callers are answered,
             or until a short time has passed.
         """
-        notice = crash_messages.CrashNotice(self._own, death, tuple(running))
+        notice = crash_messages.CrashNotice(
+            self._service, self._own, death, tuple(running)
+        )
         self._add(notice, now_s)
         return notice
 
@@ -172,7 +187,9 @@
     ) -> crash_messages.CrashNoticeReceipt:
         """Takes in the news of a death and confirms it."""
         self._add(message, now_s)
-        return crash_messages.CrashNoticeReceipt(self._own, message.death)
+        return crash_messages.CrashNoticeReceipt(
+            self._service, self._own, message.death
+        )
 
     def on_run_singly_finished(
         self,
@@ -198,7 +215,9 @@
         if not is_survived or len(suspect.deaths) >= _DEATHS_TO_REFUSE:
             return None
         del self._suspects[request]
-        return crash_messages.SuspectCleared(self._own, request, suspect.deaths)
+        return crash_messages.SuspectCleared(
+            self._service, self._own, request, suspect.deaths
+        )
 
     def on_suspect_cleared(
         self, message: crash_messages.SuspectCleared, now_s: float
@@ -218,7 +237,9 @@
             for death in suspect.deaths:
                 suspects.setdefault(death, []).append(request)
         return tuple(
-            crash_messages.CrashNotice(self._own, death, tuple(requests))
+            crash_messages.CrashNotice(
+                self._service, self._own, death, tuple(requests)
+            )
             for death, requests in suspects.items()
         )
 
--- a/packages/policy/tests/test_crash_suspects.py
+++ b/packages/policy/tests/test_crash_suspects.py
@@ -18,7 +18,7 @@
 def _crew():
     crew = {}
     for name in _NAMES:
-        crew[name] = crash_suspects.CrashSuspects(name, settle_s=_SETTLE_S)
+        crew[name] = crash_suspects.CrashSuspects(name, "s", settle_s=_SETTLE_S)
         crew[name].set_members(_NAMES, 0.0)
     return crew
 
@@ -117,7 +117,7 @@
 
 def test_notices_told_again_count_once():
     first, second = (
-        crash_suspects.CrashSuspects(n, settle_s=0.0) for n in "ab"
+        crash_suspects.CrashSuspects(n, "s", settle_s=0.0) for n in "ab"
     )
     for member in (first, second):
         member.set_members("ab", 0.0)
@@ -133,7 +133,7 @@
 
 
 def test_suspicion_ends():
-    member = crash_suspects.CrashSuspects("a", settle_s=0.0)
+    member = crash_suspects.CrashSuspects("a", "s", settle_s=0.0)
     member.on_server_died(_DEATHS[0], [_REQUEST], 0.0)
     assert member.is_suspect(_REQUEST, 299.0)
     assert not member.is_suspect(_REQUEST, 301.0)
--- a/packages/standins/src/magnoliacrank/standins/caller.py
+++ b/packages/standins/src/magnoliacrank/standins/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import hashlib
 import time
 from typing import TYPE_CHECKING
@@ -87,6 +88,9 @@
     body: bytes = b""
     """Body."""
 
+    headers: Mapping[str, str] = attrs.Factory(dict)
+    """Further headers."""
+
 
 class Caller:
     """Sends requests of one customer for one service.
@@ -159,7 +163,7 @@
         self, url: str, wanted: Wanted, key: str, ticket: str
     ) -> _Seen:
         assert self._session is not None
-        fields = {headers.CUSTOMER: self._customer}
+        fields = {headers.CUSTOMER: self._customer, **wanted.headers}
         fields[headers.SERVICE] = self._service
         if key:
             fields[headers.KEY] = key
