Hand keys over at a planned leave; build one binary

Cause: an instance that left took its kept answers with it, so that a repeat was told may-have-run; there was no binary. Change: at a planned stop the key table closes and goes to every member of the crew, which answers repeats from it; make binary writes one shiv archive from a runtime lock of its own. Conclusion: a planned leave keeps answers.

--- a/Makefile
+++ b/Makefile
@@ -69,3 +69,26 @@
 	$(BIN)/pip install --dry-run --ignore-installed --quiet \
 		--report build/report.json -r requirements-dev.in
 	$(BIN)/python tools/lock.py build/report.json > requirements.lock
+	$(BIN)/pip install --dry-run --ignore-installed --quiet \
+		--report build/report.json -r requirements.in
+	$(BIN)/python tools/lock.py build/report.json \
+		> requirements-runtime.lock
+
+# One file with the runtime dependencies and all packages.
+binary: dist/magnoliacrank
+
+SITE := build/site
+SITE_STAMP := build/site.installed
+
+$(SITE_STAMP): $(STAMP) requirements-runtime.lock
+	rm -rf $(SITE)
+	$(BIN)/pip install --quiet --require-hashes --no-deps \
+		--target $(SITE) -r requirements-runtime.lock
+	touch $@
+
+dist/magnoliacrank: $(SITE_STAMP) $(shell find packages/*/src -name '*.py')
+	rm -rf $(SITE)/magnoliacrank $(SITE)/magnoliacrank_*
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+		--target $(SITE) $(foreach name,$(PACKAGES),./packages/$(name))
+	$(BIN)/python tools/build_binary.py $(SITE)
+	SHIV_ROOT=build/unpacked dist/magnoliacrank --help > build/help.txt
--- a/packages/cli/src/magnoliacrank/cli/entry_parts.py
+++ b/packages/cli/src/magnoliacrank/cli/entry_parts.py
@@ -19,6 +19,7 @@
 from magnoliacrank.gateway import forwarder
 from magnoliacrank.gateway import instance_status
 from magnoliacrank.gateway import key_guard
+from magnoliacrank.gateway import key_transfer
 from magnoliacrank.gateway import peer_link
 from magnoliacrank.gateway import periodic_task
 from magnoliacrank.gateway import request_carrier
@@ -83,6 +84,9 @@
     relay: record_relay.RecordRelay
     """Log records to and from other instances."""
 
+    transfers: key_transfer.KeyTransfer
+    """Keys that are handed over at a planned leave."""
+
     status: instance_status.InstanceStatus
     """What operators see."""
 
@@ -146,6 +150,9 @@
         clock,
     )
     forwards = forwarder.Forwarder(own.instance_id, clock)
+    transfers = key_transfer.KeyTransfer(
+        own, keys, services, membership, calls, clock
+    )
     carrier = request_carrier.RequestCarrier(
         own,
         request_carrier.Collaborators(
@@ -153,6 +160,7 @@
             keys=keys,
             dispatches=dispatcher.Dispatcher(clock),
             forwards=forwards,
+            transfers=transfers,
             crews=crew_forwarder.CrewForwarder(own, membership, forwards),
             peers=membership,
         ),
@@ -201,6 +209,7 @@
         membership=membership,
         messages=messages,
         relay=relay,
+        transfers=transfers,
         status=status,
         handler=handler,
         in_start_order=(
--- a/packages/cli/src/magnoliacrank/cli/entry_process.py
+++ b/packages/cli/src/magnoliacrank/cli/entry_process.py
@@ -52,6 +52,7 @@
             self._handler, front_limits.FrontLimits()
         )
         self._parts: entry_parts.EntryParts | None = None
+        self._is_closed = False
 
     @property
     def parts(self) -> entry_parts.EntryParts:
@@ -89,6 +90,7 @@
         self._parts = parts
         self._peer_handlers.exchange = parts.membership.on_exchange
         self._peer_handlers.deliver = parts.messages.on_delivery
+        self._peer_handlers.hand_over = parts.transfers.on_hand_over
         self._peer_handlers.records = parts.relay.on_request
         for part in parts.in_start_order:
             await part.start()
@@ -112,13 +114,17 @@
         await asyncio.sleep(self._options.entry_ttl_s)
 
     async def close(self, grace_s: float) -> None:
-        """Finishes the requests in flight, then closes all parts.
+        """Finishes the requests in flight, then closes all parts, once.
 
         Args:
             grace_s: Longest time for the requests in flight, in seconds.
         """
+        if self._is_closed:
+            return
+        self._is_closed = True
         await self._front.close(grace_s)
         if self._parts is not None:
+            await self._parts.transfers.hand_over()
             for part in reversed(self._parts.in_start_order):
                 await part.close()
         await self._peer_server.close(_PEER_GRACE_S)
--- a/packages/cli/tests/test_entry_process.py
+++ b/packages/cli/tests/test_entry_process.py
@@ -111,3 +111,26 @@
     assert crashes <= 2
     assert results[-1].reason == verdict.Reason.CRASH_SUSPECT.value
     assert after.outcome is _DONE
+
+
+async def test_planned_leave_hands_answers_over(world):
+    leaver = world.processes[0]
+    one = _caller(world)
+    await one.start()
+    wanted = caller.Wanted(
+        "POST", "/refills/9", request.RequestClass.AT_MOST_ONCE
+    )
+    first = await one.send(wanted, key="k9")
+    ticket = one.ticket
+    await leaver.leave()
+    await leaver.close(grace_s=5.0)
+    again = await one.send(wanted, key="k9", ticket=ticket)
+    unseen = await one.send(wanted, key="k10", ticket=ticket)
+    await one.close()
+    assert first.outcome is _DONE
+    assert again.outcome is _DONE
+    assert again.is_whole
+    assert again.reason == verdict.Reason.REPEATED.value
+    assert unseen.reason == verdict.Reason.OWNER_LOST.value
+    assert unseen.outcome is verdict.Outcome.MAY_HAVE_RUN
+    assert world.journal.runs_by_key() == {"k9": 1}
--- a/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
+++ b/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
@@ -13,6 +13,7 @@
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import forwarder
 from magnoliacrank.gateway import key_guard
+from magnoliacrank.gateway import key_transfer
 from magnoliacrank.gateway import peer_directory
 from magnoliacrank.gateway import refusal
 from magnoliacrank.gateway import request_reader
@@ -20,6 +21,7 @@
 from magnoliacrank.model import headers
 from magnoliacrank.model import request
 from magnoliacrank.model import verdict
+from magnoliacrank.policy import key_entry
 from magnoliacrank.policy import key_table
 
 if TYPE_CHECKING:
@@ -56,6 +58,9 @@
     forwards: forwarder.Forwarder
     """Passes requests on to one other instance."""
 
+    transfers: key_transfer.KeyTransfer
+    """Keys of instances that have left."""
+
     crews: crew_forwarder.CrewForwarder
     """Passes requests on to members of a crew."""
 
@@ -161,6 +166,9 @@
         content = await exchange.read_body(_KEYED_BODY_BYTES)
         if not isinstance(content, bytes):
             return verdict.may_have_run(verdict.Reason.BAD_REQUEST)
+        digest = dispatcher.digest_request(exchange, content)
+        typed = attrs.evolve(routed.request, digest=digest)
+        routed = attrs.evolve(routed, request=typed)
         owner = self._parts.keys.find_owner(routed.ticket)
         if isinstance(owner, verdict.Verdict):
             return owner
@@ -168,9 +176,6 @@
             return await self._forward_to_owner(
                 exchange, routed, owner, content
             )
-        digest = dispatcher.digest_request(exchange, content)
-        typed = attrs.evolve(routed.request, digest=digest)
-        routed = attrs.evolve(routed, request=typed)
         return await self._run_keyed(exchange, routed, content)
 
     async def _run_keyed(
@@ -181,10 +186,8 @@
     ) -> verdict.Verdict | None:
         keys = self._parts.keys
         decision = await keys.begin(routed.request, routed.ticket)
-        if isinstance(decision, key_table.KeyRefused):
-            return decision.verdict
-        if isinstance(decision, key_table.Repeat):
-            return await _answer_repeat(exchange, decision)
+        if not isinstance(decision, key_table.Dispatch):
+            return await _answer_known(exchange, decision)
         outcome = verdict.may_have_run(verdict.Reason.CONNECTION_LOST)
         kept = None
         try:
@@ -209,7 +212,7 @@
     ) -> verdict.Verdict | None:
         peer = self._parts.peers.find(owner.ticket.instance_id)
         if peer is None or peer.incarnation != owner.ticket.incarnation:
-            return verdict.may_have_run(verdict.Reason.OWNER_LOST)
+            return await self._answer_for_lost(exchange, routed, content)
         if headers.FORWARDED_BY in exchange.headers:
             return verdict.may_have_run(verdict.Reason.OWNER_UNREACHABLE)
         received = await self._parts.forwards.send(
@@ -221,6 +224,34 @@
         result = await crew_forwarder.relay_forwarded(exchange, received)
         return result if isinstance(result, verdict.Verdict) else None
 
+    async def _answer_for_lost(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        routed: request_reader.RoutedRequest,
+        content: bytes,
+    ) -> verdict.Verdict | None:
+        """Answers for an owner that is gone; nothing is dispatched."""
+        wanted = routed.request
+        assert wanted.key is not None
+        key = key_entry.ScopedKey(
+            wanted.customer, wanted.service, routed.ticket, wanted.key
+        )
+        known = self._parts.transfers.inherited.answer(
+            key, wanted.digest, self._clock()
+        )
+        runtime = self._parts.services.find(wanted.service)
+        is_heir = runtime is None or runtime.is_member
+        is_forwarded = headers.FORWARDED_BY in exchange.headers
+        if isinstance(known, key_table.Repeat) or is_heir or is_forwarded:
+            return await _answer_known(exchange, known)
+        assert runtime is not None
+        result = await self._parts.crews.forward(
+            exchange, runtime, content, wanted.deadline_s
+        )
+        if isinstance(result, verdict.Verdict):
+            return verdict.may_have_run(verdict.Reason.OWNER_LOST)
+        return None
+
 
 async def answer_verdict(
     exchange: inbound_exchange.InboundExchange, result: verdict.Verdict
@@ -230,9 +261,12 @@
     await exchange.answer(refused.status, refused.headers, refused.body)
 
 
-async def _answer_repeat(
-    exchange: inbound_exchange.InboundExchange, repeat: key_table.Repeat
+async def _answer_known(
+    exchange: inbound_exchange.InboundExchange,
+    repeat: key_table.Repeat | key_table.KeyRefused,
 ) -> verdict.Verdict | None:
+    if isinstance(repeat, key_table.KeyRefused):
+        return repeat.verdict
     kept = repeat.answer
     if not repeat.verdict.is_done:
         return repeat.verdict
--- a/packages/standins/src/magnoliacrank/standins/caller.py
+++ b/packages/standins/src/magnoliacrank/standins/caller.py
@@ -23,6 +23,7 @@
 _SENDS = 4
 _PAUSE_S = 0.1
 _STATUS_OK = 200
+_IDEMPOTENT = request.RequestClass.IDEMPOTENT
 _UNKNOWN = verdict.Outcome.MAY_HAVE_RUN
 
 
@@ -127,13 +128,24 @@
             await self._session.close()
             self._session = None
 
-    async def send(self, wanted: Wanted) -> Result:
-        """Sends one request until it is done or must not be sent again."""
+    @property
+    def ticket(self) -> str:
+        """Ticket of the newest answer about entries."""
+        return self._entries.ticket if self._entries else ""
+
+    async def send(
+        self, wanted: Wanted, *, key: str = "", ticket: str = ""
+    ) -> Result:
+        """Sends one request until it is done or must not be sent again.
+
+        Args:
+            wanted: The request.
+            key: Idempotency key; a new one where one is needed and none given.
+            ticket: Ticket of the key; that of the newest answer if empty.
+        """
         started_s = time.monotonic()
-        key = ""
-        if wanted.request_class is not request.RequestClass.IDEMPOTENT:
+        if not key and wanted.request_class is not _IDEMPOTENT:
             key = uuid.uuid4().hex
-        ticket = ""
         seen = _Seen()
         sends = 0
         while sends < _SENDS and not seen.is_final(wanted.request_class):
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,49 @@
+"""Builds dist/magnoliacrank: one file that needs the system's Python only.
+
+Usage: python tools/build_binary.py SITE_PACKAGES, where the directory holds
+the runtime dependencies and the workspace packages. The archive is a shiv
+zipapp, which unpacks once into the directory that SHIV_ROOT names.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+
+_OUTPUT = pathlib.Path("dist/magnoliacrank")
+_ENTRY_POINT = "magnoliacrank.cli.main:main"
+_INTERPRETER = "/usr/bin/env python3.11"
+_UNPACK_ROOT = "/run/magnoliacrank"
+
+
+def build(site_packages: pathlib.Path) -> None:
+    """Writes the archive.
+
+    Args:
+        site_packages: Directory with everything that goes into it.
+    """
+    _OUTPUT.parent.mkdir(exist_ok=True)
+    subprocess.run(
+        [
+            str(pathlib.Path(sys.executable).with_name("shiv")),
+            "--site-packages",
+            str(site_packages),
+            "--entry-point",
+            _ENTRY_POINT,
+            "--python",
+            _INTERPRETER,
+            "--root",
+            _UNPACK_ROOT,
+            "--reproducible",
+            "--compressed",
+            "--no-modify",
+            "--output-file",
+            str(_OUTPUT),
+        ],
+        check=True,
+    )
+
+
+if __name__ == "__main__":
+    build(pathlib.Path(sys.argv[1]))
