Send what is left of a large reply, test silent channels, count crew records

Cause: where a handler sent back more than one batch, the rest waited until the next message to that instance. Change: the messenger sends the rest at once.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,10 @@
 bench-hop: $(STAMP)
 	$(BIN)/python -m bench.hop
 
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity.peers_slopes
+	$(BIN)/python -m bench.capacity.crew_changes
+
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
 	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
--- a/packages/peers/src/magnoliacrank/peers/messenger.py
+++ b/packages/peers/src/magnoliacrank/peers/messenger.py
@@ -133,10 +133,8 @@
         body = msgspec.msgpack.encode(message)
         kind = self._kinds[type(message)]
         outbox.payloads.append(peer_pb2.Payload(kind=kind, body=body))
-        if outbox.task is None and not outbox.is_response_open:
-            outbox.task = asyncio.ensure_future(
-                self._drain(instance_id, outbox)
-            )
+        if not outbox.is_response_open:
+            self._begin_to_drain(instance_id, outbox)
         return True
 
     def on_delivery(
@@ -153,7 +151,10 @@
             self._dispatch(sender, payloads)
         finally:
             outbox.is_response_open = False
-        return outbox.take_batch()
+        batch = outbox.take_batch()
+        if outbox.payloads:
+            self._begin_to_drain(sender.instance_id, outbox)
+        return batch
 
     async def close(self) -> None:
         """Drops what is queued and cancels calls in flight."""
@@ -194,6 +195,14 @@
             why,
         )
 
+    def _begin_to_drain(
+        self, instance_id: ids.InstanceId, outbox: _Outbox
+    ) -> None:
+        if outbox.task is None:
+            outbox.task = asyncio.ensure_future(
+                self._drain(instance_id, outbox)
+            )
+
     async def _drain(
         self, instance_id: ids.InstanceId, outbox: _Outbox
     ) -> None:
--- a/packages/peers/tests/test_peers_over_grpc.py
+++ b/packages/peers/tests/test_peers_over_grpc.py
@@ -136,3 +136,83 @@
         )
         with pytest.raises(errors.PeerBindError):
             await second.start()
+
+
+class _Proxy:
+    """Passes connections on until it loses track of the open ones."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._tasks: list[asyncio.Task] = []
+        self._silent: list[asyncio.Event] = []
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._accept, _HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def silence_open_connections(self) -> None:
+        for silent in self._silent:
+            silent.set()
+
+    async def close(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer) -> None:
+        silent = asyncio.Event()
+        self._silent.append(silent)
+        far_reader, far_writer = await asyncio.open_connection(
+            _HOST, self._port
+        )
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(self._pass_on(source, sink, silent))
+            self._tasks.append(task)
+
+    async def _pass_on(self, source, sink, silent) -> None:
+        while data := await source.read(65536):
+            if not silent.is_set():
+                sink.write(data)
+        sink.close()
+
+
+async def test_channel_that_went_silent_is_replaced():
+    async with _run_nodes(1) as (node,):
+        proxy = _Proxy(node.server.port)
+        await proxy.start()
+        behind = attrs.evolve(node.own, peer_port=proxy.port)
+        client = peer_client.PeerClient(node.own)
+        await client.exchange(behind, peer_pb2.Packet(), 30)
+        proxy.silence_open_connections()
+        with pytest.raises(errors.PeerCallError) as caught:
+            await client.exchange(behind, peer_pb2.Packet(), 0.3)
+        assert caught.value.failure is errors.CallFailure.TIMEOUT
+        await client.exchange(behind, peer_pb2.Packet(), 30)
+        await client.close()
+        await proxy.close()
+
+
+async def test_answers_beyond_one_batch_arrive_too():
+    async with _run_nodes(2) as (first, second):
+        large = _Note("x" * 40_000)
+
+        def on_note(sender: server.PeerSender, _: _Note) -> None:
+            for _number in range(5):
+                second.messenger.send(sender.instance_id, large)
+
+        second.messenger.register("note", _Note, on_note)
+        first.messenger.send("e1", _Note("question"))
+        await _wait_until(lambda: len(first.notes) == 5)
+
+
+async def test_unreadable_message_is_counted_and_others_arrive():
+    async with _run_nodes(2) as (first, second):
+        payloads = [
+            peer_pb2.Payload(kind="unknown", body=b""),
+            peer_pb2.Payload(kind="note", body=b"no msgpack"),
+            peer_pb2.Payload(kind="note", body=b"\x81\xa4text\xa2ok"),
+        ]
+        await first.client.deliver(second.own, payloads, 30)
+        assert second.messenger.counts.unreadable == 2
+        assert second.notes == [("e0", "ok")]
