Keep the survivors linked when two of three data centres are lost

Cause: rings that visit data centres by turns in one direction left the survivors monitoring lost members only, and news went to monitored members only. Ruled out: more pings a second; the links were missing, not the rate. Change: one ring is over the own data centre, two over all go in opposite directions, a suspect's place in them is taken over at once, news goes to members that answer, and requests for pings carry updates.

--- a/packages/policy/src/magnoliacrank/policy/member_view.py
+++ b/packages/policy/src/magnoliacrank/policy/member_view.py
@@ -67,7 +67,7 @@
 
     @property
     def generation(self) -> int:
-        """Counts the changes of who is live."""
+        """Counts the changes of who is live and no suspect."""
         return self._generation
 
     @property
@@ -106,6 +106,11 @@
         """Returns the statements about the live members."""
         return self._table.list_present()
 
+    def list_alive(self) -> list[member.MemberUpdate]:
+        """Returns the statements about the live members, without suspects."""
+        alive = member.MemberState.ALIVE
+        return [one for one in self.list_present() if one.state is alive]
+
     def list_all(self) -> tuple[member.MemberUpdate, ...]:
         """Returns the statements about all members, removed ones too."""
         return tuple(self._table.list_all())
@@ -123,6 +128,11 @@
         held = self._table.find(instance_id)
         return held is not None and held.is_present
 
+    def is_alive(self, instance_id: ids.InstanceId) -> bool:
+        """Returns whether an instance is a live member and no suspect."""
+        held = self._table.find(instance_id)
+        return held is not None and held.state is member.MemberState.ALIVE
+
     def is_known(
         self, instance_id: ids.InstanceId, incarnation: ids.Incarnation
     ) -> bool:
@@ -227,6 +237,7 @@
 
     def _put(self, update: member.MemberUpdate, now_s: float) -> None:
         was_present = self.is_present(update.instance_id)
+        was_alive = self.is_alive(update.instance_id)
         kept = self._table.put(update)
         self._unverified.pop(kept.instance_id, None)
         if kept.state is not member.MemberState.REMOVED:
@@ -239,7 +250,7 @@
         if kept.is_present or was_present:
             self._changed_s = now_s
             self._is_changed = True
-        self._generation += kept.is_present != was_present
+        self._generation += self.is_alive(kept.instance_id) != was_alive
 
     def _to_instance(
         self, update: member.MemberUpdate
--- a/packages/policy/src/magnoliacrank/policy/membership.py
+++ b/packages/policy/src/magnoliacrank/policy/membership.py
@@ -27,8 +27,8 @@
 REMOVAL_BOUND_S = 5.0
 """A crashed member is removed everywhere within this many seconds."""
 
-_MONITORED = 3
 _HELPERS = 3
+_PUSH_FAN_OUT = 3
 _PERIOD_S = 1.0
 _PAUSE_S = 1.0
 _PUSH_INTERVAL_S = 0.1
@@ -223,8 +223,10 @@
         if self._generation == self._view.generation:
             return
         self._generation = self._view.generation
+        # A suspect's place in the rings is taken over at once, so that what it
+        # monitored does not wait for its removal.
         targets = monitor_ring.choose_targets(
-            self._own_id, self._view.list_present(), _MONITORED
+            self._own_id, self._view.list_alive()
         )
         due_s = {}
         for target in targets:
@@ -247,13 +249,10 @@
             if one.instance_id not in (self._own_id, target)
         ]
         for helper in self._rng.sample(others, min(_HELPERS, len(others))):
-            request = heartbeat.Heartbeat(
-                heartbeat.HeartbeatKind.PING_REQUEST,
-                sequence,
-                target,
-                digest=self._view.digest,
+            request = self._build(
+                heartbeat.HeartbeatKind.PING_REQUEST, helper, sequence
             )
-            self._send(helper, request)
+            self._send(helper, attrs.evolve(request, target=target))
         self._send_ping(target, sequence)
 
     def _probe_targets(self, now_s: float) -> None:
@@ -288,12 +287,28 @@
         if now_s < self._next_push_s or not self._view.take_push_wanted():
             return
         self._next_push_s = now_s + _PUSH_INTERVAL_S
-        for target in self._due_s:
-            if self._probes.is_pending(target):
-                self._send_ping(target, 0)
-                continue
-            self._due_s[target] = now_s + _PERIOD_S
-            self._probe(target, now_s)
+        for target in self._choose_push_targets():
+            self._send_ping(target, 0)
+
+    def _choose_push_targets(self) -> list[ids.InstanceId]:
+        """Returns whom to tell news at once: monitored members that answer.
+
+        Others at random stand in for those that do not, since news must also
+        spread where all monitored members are lost.
+        """
+        chosen = [
+            one
+            for one in self._due_s
+            if self._view.is_alive(one) and not self._probes.is_pending(one)
+        ]
+        others = [
+            one.instance_id
+            for one in self._view.list_alive()
+            if one.instance_id != self._own_id
+            and one.instance_id not in self._due_s
+        ]
+        missing = max(0, _PUSH_FAN_OUT - len(chosen))
+        return chosen + self._rng.sample(others, min(missing, len(others)))
 
     def _compare_digest(
         self,
--- a/packages/policy/src/magnoliacrank/policy/monitor_ring.py
+++ b/packages/policy/src/magnoliacrank/policy/monitor_ring.py
@@ -12,27 +12,32 @@
     from magnoliacrank.model import ids
     from magnoliacrank.policy import member
 
+_FORWARD_SEED = 1
+_BACKWARD_SEED = 2
+
 
 def choose_targets(
-    own_id: ids.InstanceId,
-    members: Iterable[member.MemberUpdate],
-    count: int,
+    own_id: ids.InstanceId, members: Iterable[member.MemberUpdate]
 ) -> list[ids.InstanceId]:
-    """Returns the members that one of them monitors.
+    """Returns the members that one of them monitors, three at most.
 
-    Each ring visits all members once, and data centres by turns, so that each
-    member is monitored by `count` others and, unless one data centre holds more
-    than half of all members, from another data centre.
+    The first is the successor in a ring over the member's data centre, so that
+    the members of one data centre stay linked when all others are gone. Two
+    rings over all members visit the data centres by turns, in opposite
+    directions. So of three data centres of equal size, any may be lost, or any
+    two, and each lost member had a monitor in a remaining one.
 
     Args:
         own_id: The monitoring member, which is one of `members`.
         members: All members that count as live.
-        count: Number of rings, and so of targets.
     """
-    present = list(members)
+    present = {one.instance_id: _find_data_centre(one) for one in members}
+    own = present[own_id]
+    near = {name: own for name, where in present.items() if where == own}
+    forward = _sort_ring(present, _FORWARD_SEED)
+    backward = _sort_ring(present, _BACKWARD_SEED)[::-1]
     targets: list[ids.InstanceId] = []
-    for seed in range(count):
-        ring = _sort_ring(present, seed)
+    for ring in (_sort_ring(near, _FORWARD_SEED), forward, backward):
         start = ring.index(own_id)
         for target in ring[start + 1 :] + ring[:start]:
             if target not in targets:
@@ -41,19 +46,24 @@
     return targets
 
 
+def _find_data_centre(one: member.MemberUpdate) -> str:
+    return one.address.data_centre if one.address else ""
+
+
 def _sort_ring(
-    members: list[member.MemberUpdate], seed: int
+    present: dict[ids.InstanceId, str], seed: int
 ) -> list[ids.InstanceId]:
+    """Returns the members by turns of their data centres.
+
+    The order of the data centres is the same for all seeds.
+    """
     by_data_centre: dict[str, list[tuple[int, ids.InstanceId]]] = {}
-    for one in members:
-        data_centre = one.address.data_centre if one.address else ""
-        score = xxhash.xxh64_intdigest(one.instance_id.encode(), seed)
-        ranked = by_data_centre.setdefault(data_centre, [])
-        ranked.append((score, one.instance_id))
-    placed: list[tuple[float, int, ids.InstanceId]] = []
+    for name, data_centre in present.items():
+        score = xxhash.xxh64_intdigest(name.encode(), seed)
+        by_data_centre.setdefault(data_centre, []).append((score, name))
+    placed: list[tuple[float, str, ids.InstanceId]] = []
     for data_centre, ranked in by_data_centre.items():
-        tie = xxhash.xxh64_intdigest(data_centre.encode(), seed)
-        for rank, (_, instance_id) in enumerate(sorted(ranked)):
+        for rank, (_, name) in enumerate(sorted(ranked)):
             position = (rank + 0.5) / len(ranked)
-            placed.append((position, tie, instance_id))
-    return [instance_id for _, _, instance_id in sorted(placed)]
+            placed.append((position, data_centre, name))
+    return [name for _, _, name in sorted(placed)]
--- a/packages/policy/tests/test_membership_under_faults.py
+++ b/packages/policy/tests/test_membership_under_faults.py
@@ -199,6 +199,8 @@
         (19, ["e0", "e7"]),
         (19, [f"e{number}" for number in range(0, 19, 3)]),
         (40, [f"e{number}" for number in range(1, 40, 3)]),
+        (19, [f"e{number}" for number in range(19) if number % 3]),
+        (40, [f"e{number}" for number in range(40) if number % 3]),
     ],
 )
 @pytest.mark.parametrize("seed", range(3))
@@ -359,6 +361,23 @@
     assert network.are_views_right()
 
 
+def test_news_spreads_where_no_monitored_member_answers():
+    network = _start(13)
+    node = network.nodes["e0"]
+    targets = list(node.detector._due_s)
+    for target in targets:
+        network.crash(target)
+    network.run(1.05)
+    node.detector.leave(network.now_s)
+    network.run(0.25)
+    leaving = server.ListedState.LEAVING
+    views = [
+        other.detector.find(ids.InstanceId("e0")).state
+        for other in network.nodes.values()
+    ]
+    assert views == [leaving] * (13 - len(targets))
+
+
 def test_lagging_list_does_not_bring_a_removed_member_back():
     network = _start(4)
     listing = instance.Listing(
