--- a/bench/capacity/policy_slopes.py
+++ b/bench/capacity/policy_slopes.py
@@ -280,7 +280,9 @@
     request = request_model.Request(
         _CUSTOMER, _SERVICE, "r", request_model.RequestClass.IDEMPOTENT, 9.0
     )
-    suspects = crash_suspects.CrashSuspects(ids.InstanceId("e0"), settle_s=1.0)
+    suspects = crash_suspects.CrashSuspects(
+        ids.InstanceId("e0"), _SERVICE, settle_s=1.0
+    )
     print_of = crash_messages.Fingerprint(_CUSTOMER, _SERVICE, b"d")
 
     def offer() -> None:
--- a/packages/policy/src/magnoliacrank/policy/slot_lender.py
+++ b/packages/policy/src/magnoliacrank/policy/slot_lender.py
@@ -61,6 +61,8 @@
             Messages to the borrowers.
         """
         is_short = self._missed > 0
+        if not is_short and not self._loans:
+            return []
         self._follow_need(now_s)
         over = [i for i, until_s in self._loans.items() if now_s >= until_s]
         for loan_id in over:
