--- a/bench/hop/product.py
+++ b/bench/hop/product.py
@@ -10,6 +10,7 @@
 from magnoliacrank.cli import log_session
 from magnoliacrank.cli import publish
 from magnoliacrank.cli import settings
+from magnoliacrank.gateway import collector
 from magnoliacrank.model import ids
 from magnoliacrank.model import server
 from magnoliacrank.standins import instance_list
@@ -68,6 +69,7 @@
     async with asyncio.timeout(_TIMEOUT_S):
         while not _is_carrying(process):  # noqa: ASYNC110
             await asyncio.sleep(_POLL_S)
+    collector.settle()
     return process.own.http_port
 
 
