Bring restarted servers back sooner by what they ask for

Cause: the resets of one restart ejected the server for 0.5 s, and a cold server was held at one request until its latency was nearly usual, though it reported that it bore more. Change: connections that break within 50 ms are one failure. A cold server that asks for less than its slots is believed up to what it asks for, step by step; one that claims all its slots is still judged by its latency.

--- a/packages/policy/src/magnoliacrank/policy/ramp.py
+++ b/packages/policy/src/magnoliacrank/policy/ramp.py
@@ -8,6 +8,7 @@
 _GROWTH = 1.34
 _ANSWERS_PER_SLOT = 4
 _COLD_STEP_S = 0.5
+_GUIDED_STEP_S = 0.2
 _RECOVERY_STEP_S = 0.1
 _HEALTHY_RATIO = 1.3
 _MIN_CUT_S = 0.05
@@ -25,6 +26,7 @@
         "_changed_s",
         "_cut_s",
         "_is_cold",
+        "_is_guided",
         "_limit",
         "_reported",
         "_slots",
@@ -35,6 +37,7 @@
         self._limit = min(_COLD_LIMIT, slots)
         self._reported = slots
         self._is_cold = True
+        self._is_guided = False
         self._answers = 0
         self._changed_s = now_s
         self._cut_s = -math.inf
@@ -58,6 +61,7 @@
         """Falls back to the cold limit."""
         self._set(min(_COLD_LIMIT, self._slots), now_s)
         self._is_cold = True
+        self._is_guided = False
         self._reported = self._slots
 
     def restore(self, limit: int, now_s: float) -> None:
@@ -71,9 +75,18 @@
     def on_reported_limit(self, limit: int | None) -> None:
         """Takes in the concurrency that the server asks for itself.
 
-        It can lower the limit, never raise it.
+        It lowers the limit at once. It raises none, but a server that asked
+        for less than its slots knows that it is cold, so the steps up to what
+        it asks for need no usual latency.
         """
         self._reported = self._slots if limit is None else max(1, limit)
+        if self._is_cold and self._reported < self._slots:
+            self._is_guided = True
+
+    @property
+    def is_guided(self) -> bool:
+        """Whether the server itself tells what it bears while it is cold."""
+        return self._is_guided and self._is_cold
 
     def on_served(self, ratio: float, now_s: float) -> None:
         """Takes in a served answer.
@@ -84,18 +97,25 @@
         """
         if self.is_full:
             return
-        if ratio > _HEALTHY_RATIO:
+        is_asked_for = self.is_guided and self._limit < self._reported
+        if ratio > _HEALTHY_RATIO and not is_asked_for:
             self._answers = max(0, self._answers - 1)
             return
         self._answers += 1
         if self._answers < self._limit * _ANSWERS_PER_SLOT:
             return
-        step_s = _COLD_STEP_S if self._is_cold else _RECOVERY_STEP_S
-        if now_s - self._changed_s < step_s:
+        if now_s - self._changed_s < self._step_s:
             return
         raised = max(self._limit + 1, int(self._limit * _GROWTH))
         self._set(min(raised, self._slots), now_s)
 
+    @property
+    def _step_s(self) -> float:
+        """Least time between two steps up, in seconds."""
+        if not self._is_cold:
+            return _RECOVERY_STEP_S
+        return _GUIDED_STEP_S if self._is_guided else _COLD_STEP_S
+
     def on_slow(self, now_s: float) -> None:
         """Halves the limit of a server that became slow."""
         self._cut(self._limit // 2, now_s)
--- a/packages/policy/src/magnoliacrank/policy/server_state.py
+++ b/packages/policy/src/magnoliacrank/policy/server_state.py
@@ -20,6 +20,7 @@
 _RATIO_WEIGHT = 0.3
 _RATIO_MEMORY_S = 1.0
 _TRICKLE_S = 0.05
+_BREAK_WINDOW_S = 0.05
 _TRUSTED = 0.5
 _MIN_SUCCESS = 0.1
 _OUT_WEIGHT = 4.0
@@ -31,6 +32,7 @@
     __slots__ = (
         "_alarm",
         "_before",
+        "_break_s",
         "_incarnation",
         "_is_down",
         "_load",
@@ -65,6 +67,7 @@
         self._ratio_s = now_s
         self._incarnation = 0
         self._probed_s = now_s
+        self._break_s = -math.inf
         self._is_down = False
         self._alarm = slow_alarm.SlowAlarm()
         self._before: tuple[int, int] | None = None
@@ -171,7 +174,7 @@
             self._readmit()
             return
         self._move(life.Event.ANSWERED)
-        if self._alarm.add(ratio):
+        if self._alarm.add(ratio) and not self._ramp.is_guided:
             self._ramp.on_slow(now_s)
         self._ramp.on_served(ratio, now_s)
         self._settle()
@@ -201,10 +204,14 @@
         """Takes in a connection that broke under a request.
 
         It may be the first sign of a restart, so the server is held back
-        until an answer shows the same incarnation.
+        until an answer shows the same incarnation. Connections that break
+        together count as one failure.
         """
         self.on_restart(now_s)
-        self._fail(peers_share, now_s)
+        is_same_event = now_s - self._break_s < _BREAK_WINDOW_S
+        self._break_s = now_s
+        if not is_same_event:
+            self._fail(peers_share, now_s)
 
     def on_refused_connection(self, now_s: float) -> None:
         """Takes in a refused connection: nothing listens there now."""
--- a/packages/policy/tests/test_router.py
+++ b/packages/policy/tests/test_router.py
@@ -219,6 +219,44 @@
     assert routing.limit(ids.ServerId("a1"), now_s) == expected
 
 
+@pytest.mark.parametrize(
+    ("gap_s", "expected"),
+    [
+        (0.001, life.Life.COLD),
+        (0.2, life.Life.SUSPECT),
+    ],
+)
+def test_resets_together_are_one_failure(gap_s, expected):
+    routing = _router([_backend("a1"), _backend("a2")])
+    now_s = _warm(routing, ["a1", "a2"])
+    a1 = ids.ServerId("a1")
+    running = [routing.on_dispatch(a1, _READ, now_s) for _ in range(4)]
+    for dispatch in running:
+        now_s += gap_s
+        routing.on_failure(dispatch, sample.FailureKind.RESET, now_s)
+    assert routing.life(a1) is expected
+
+
+@pytest.mark.parametrize(
+    ("reported", "expected"),
+    [
+        (None, 1),
+        (4, 1),
+        (2, 2),
+    ],
+)
+def test_limit_of_slow_cold_server_follows_what_it_asks_for(reported, expected):
+    routing = _router([_backend("a1"), _backend("a2")])
+    now_s = _warm(routing, ["a1", "a2"])
+    report = server.LoadReport(in_flight=0, incarnation=7)
+    now_s = _serve(routing, "a1", now_s, report=report)
+    for limit in (1 if reported == 2 else reported,) * 2 + (reported,) * 40:
+        report = server.LoadReport(0, 0, 8, limit)
+        now_s = _serve(routing, "a1", now_s, 0.012, report=report)
+        now_s = _serve(routing, "a2", now_s, count=8)
+    assert routing.limit(ids.ServerId("a1"), now_s) == expected
+
+
 @pytest.mark.parametrize(("waited_s", "is_used"), [(0.0, False), (0.5, True)])
 def test_choose_far_slower_server_only_after_waiting_as_long(waited_s, is_used):
     routing = _router([_backend("a1"), _backend("a2")])
