--- a/bench/decisions/product.py
+++ b/bench/decisions/product.py
@@ -85,7 +85,7 @@
         self._admission = admission.Admission(allowance_meter.AllowanceMeter())
         self._retries = retry_budget.RetryBudget()
         self._suspects = crash_suspects.CrashSuspects(
-            self._own, settle_s=_SETTLE_S
+            self._own, ids.ServiceName("service"), settle_s=_SETTLE_S
         )
         self._suspects.set_members(self.slots.owner_names, 0.0)
         self._journeys: dict[fair_queue.Place, Journey] = {}
@@ -402,7 +402,7 @@
         waiting = self._admission.waiting + len(self._unplaced)
         if waiting:
             now_s = self._setting.time.now_s
-            self.slots.ask(self.router.loan_wishes(waiting, now_s))
+            self.slots.ask(self.router.loan_wishes(waiting, now_s), waiting)
 
     def _set_capacity(self) -> None:
         free = self.router.free_slots(self._setting.time.now_s)
--- a/packages/cli/src/magnoliacrank/cli/entry_parts.py
+++ b/packages/cli/src/magnoliacrank/cli/entry_parts.py
@@ -29,6 +29,7 @@
 from magnoliacrank.peers import client
 from magnoliacrank.peers import membership_task
 from magnoliacrank.peers import messenger
+from magnoliacrank.peers import record_relay
 from magnoliacrank.platform import http_instance_list
 from magnoliacrank.platform import http_log_service
 from magnoliacrank.policy import key_table
@@ -79,6 +80,9 @@
     messages: messenger.PeerMessenger
     """Messages to other instances."""
 
+    relay: record_relay.RecordRelay
+    """Log records to and from other instances."""
+
     status: instance_status.InstanceStatus
     """What operators see."""
 
@@ -125,6 +129,7 @@
     calls = client.PeerClient(own, clock)
     membership = membership_task.MembershipTask(own, calls, clock=clock)
     messages = messenger.PeerMessenger(calls, membership.find)
+    relay = record_relay.RecordRelay(follower, membership, calls)
     services = service_directory.ServiceDirectory(own, random.Random(), clock)
     metrics = request_metrics.RequestMetrics()
     status = instance_status.InstanceStatus(
@@ -165,6 +170,9 @@
         entry_ttl_s=options.entry_ttl_s,
         clock=clock,
     )
+    proposals = crew_proposals.CrewProposals(
+        own.instance_id, services, membership, clock
+    )
     listed = http_instance_list.HttpInstanceList(options.instances_url)
     # The services of a configuration have to exist before their shares come.
     state_link.StateLink(follower, services).register()
@@ -192,6 +200,7 @@
         services=services,
         membership=membership,
         messages=messages,
+        relay=relay,
         status=status,
         handler=handler,
         in_start_order=(
@@ -201,11 +210,19 @@
             _OnClose(calls.close),
             _OnClose(messages.close),
             membership,
+            relay,
             _OnClose(forwards.close),
             _OnClose(services.close),
             listed,
             listing_task.ListingTask(
-                listed, services, membership, moves, options.list_period_s
+                listed,
+                (
+                    lambda listing: services.set_servers(listing.servers),
+                    membership.update_listing,
+                    moves.on_listing,
+                    proposals.on_listing,
+                ),
+                options.list_period_s,
             ),
             periodic_task.PeriodicTask(
                 "slots", _TICK_S, _ticker(follower, services, membership, link)
@@ -215,9 +232,7 @@
                 moves, term, writer, send_evidence=link.send_evidence
             ),
             snapshot_writer.SnapshotWriter(follower, writer, clock=clock),
-            crew_keeper.CrewKeeper(
-                crew_proposals.CrewProposals(services, membership).due, writer
-            ),
+            crew_keeper.CrewKeeper(proposals.due, writer),
         ),
     )
 
