--- a/bench/decisions/product.py
+++ b/bench/decisions/product.py
@@ -402,7 +402,7 @@
         waiting = self._admission.waiting + len(self._unplaced)
         if waiting:
             now_s = self._setting.time.now_s
-            self.slots.ask(self.router.loan_wishes(waiting, now_s))
+            self.slots.ask(self.router.loan_wishes(waiting, now_s), waiting)
 
     def _set_capacity(self) -> None:
         free = self.router.free_slots(self._setting.time.now_s)
--- a/packages/gateway/src/magnoliacrank/gateway/peer_link.py
+++ b/packages/gateway/src/magnoliacrank/gateway/peer_link.py
@@ -36,6 +36,7 @@
     ("loan-request", slot_messages.LoanRequest),
     ("loan-grant", slot_messages.LoanGrant),
     ("loan-return", slot_messages.LoanReturn),
+    ("loan-recall", slot_messages.LoanRecall),
     ("crew-check", slot_messages.CrewCheck),
     ("crew-state", slot_messages.CrewState),
 )
--- a/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
@@ -288,12 +288,12 @@
     def _ask_loans(self, now_s: float) -> None:
         """Asks other members for slots of the servers in use."""
         need = self._gate.waiting + self._waiters.count + 1
-        wanted = tuple(
-            slot_messages.SlotCount(server_id, min(need, listed.slots))
-            for server_id, listed in self._servers.items()
+        useful = [
+            server_id
+            for server_id in self._servers
             if self._router.is_eligible(server_id)
-        )
-        self._outbox(self._ledger.ask_loans(wanted, now_s))
+        ]
+        self._outbox(self._ledger.ask_loans(useful, need, now_s))
 
     def _judge(
         self, reservation: Reservation, latency_s: float, *, is_ok: bool
--- a/packages/policy/src/magnoliacrank/policy/admission.py
+++ b/packages/policy/src/magnoliacrank/policy/admission.py
@@ -15,7 +15,8 @@
 
 _WAITING_PER_SLOT = 8
 _LEAST_WAITING = 24
-_SMOOTHING = 0.1
+_SMOOTHING = 0.03
+_DEVIATIONS = 4.0
 _FIRST_SERVICE_S = 0.005
 
 _PRIORITY = {
@@ -82,6 +83,7 @@
         self._capacity = 0
         self._in_flight = 0
         self._service_s = _FIRST_SERVICE_S
+        self._deviation_s = 0.0
         self._route_service_s: dict[str, float] = {}
         self._dropped: list[Dropped] = []
 
@@ -182,6 +184,8 @@
     def _note_service(self, route: str, service_s: float) -> None:
         """Takes in the time of one whole answer."""
         self._service_s += _SMOOTHING * (service_s - self._service_s)
+        error_s = service_s - self._route_service_s.get(route, service_s)
+        self._deviation_s += _SMOOTHING * (abs(error_s) - self._deviation_s)
         usual_s = self._route_service_s.get(route, service_s)
         usual_s += _SMOOTHING * (service_s - usual_s)
         self._route_service_s[route] = usual_s
@@ -246,8 +250,9 @@
             return True
         ahead = self._ahead(place, priority)
         wait_s = ahead * self._service_s / max(1, self._capacity)
-        answer_s = now_s + wait_s + self._usual_s(place.request)
-        return answer_s <= place.request.deadline_s
+        usual_s = self._usual_s(place.request)
+        needed_s = usual_s + _DEVIATIONS * self._deviation_s
+        return now_s + wait_s + needed_s <= place.request.deadline_s
 
     def _ahead(self, place: fair_queue.Place, priority: int) -> int:
         """Returns how many requests start before a new one, about."""
