--- a/packages/policy/src/magnoliacrank/policy/crew_view.py
+++ b/packages/policy/src/magnoliacrank/policy/crew_view.py
@@ -17,6 +17,7 @@
 
 _NO_RECORD = ids.LogOffset(-1)
 _NEVER_S = float("-inf")
+_NOT_YET_S = float("inf")
 
 
 class CrewView:
@@ -38,6 +39,7 @@
         self._formers: list[former_crew.FormerCrew] = []
         self._blind_until_s = _NEVER_S
         self._blind_number = _NO_RECORD
+        self._blind_aware: set[slot_messages.Owner] = set()
         self._check_ids = itertools.count(1)
         self._checks_s: dict[int, float] = {}
         self._next_check_s = _NEVER_S
@@ -66,7 +68,8 @@
         """Changes to a newer record.
 
         When the record that it replaced is not known, unknown owners are
-        waited out, or until a member tells that there are none.
+        waited out from the time at which a quorum of members knows this one,
+        or until a member tells that there are none.
 
         Args:
             crew: The record as folded from the log.
@@ -78,8 +81,9 @@
         if crew.number <= self.number:
             return False
         if crew.based_on != self.number:
-            self._blind_until_s = now_s + self._timing.takeover_s
+            self._blind_until_s = _NOT_YET_S
             self._blind_number = crew.number
+            self._blind_aware = set()
         if self._shares is not None:
             former = former_crew.FormerCrew(self._shares)
             former.note_aware(self._own, now_s)
@@ -88,6 +92,7 @@
         for former in self._formers:
             former.succeed(self._shares)
         self._trust.set_members(self._shares.members)
+        self._limit_blindness(now_s)
         return True
 
     def usable_share(self, server_id: ids.ServerId, now_s: float) -> int:
@@ -201,6 +206,19 @@
         for former in self._formers:
             if crew_number > former.number:
                 former.note_aware(sender, now_s)
+        if crew_number >= self._blind_number:
+            self._blind_aware.add(sender)
+            self._limit_blindness(now_s)
+
+    def _limit_blindness(self, now_s: float) -> None:
+        """Starts to wait out unknown owners once a quorum knows better."""
+        if self._blind_until_s != _NOT_YET_S or self._shares is None:
+            return
+        members = self._shares.members
+        aware = members & (self._blind_aware | {self._own})
+        needed = min(crew_trust.quorum(len(members)), len(members))
+        if len(aware) >= needed:
+            self._blind_until_s = now_s + self._timing.takeover_s
 
     def _check_targets(
         self, shares: crew_shares.CrewShares, now_s: float
--- a/packages/policy/tests/test_slot_histories.py
+++ b/packages/policy/tests/test_slot_histories.py
@@ -453,6 +453,11 @@
     assert _run(1195, 3 * _STEPS).violations() == ()
 
 
+def test_late_beginner_waits_for_members_cut_off_under_an_older_record():
+    """Two members confirm an old record to each other, without the log."""
+    assert _run(5369, 3 * _STEPS).violations() == ()
+
+
 @pytest.mark.histories
 @pytest.mark.parametrize("block", range(_LONG_BLOCKS))
 def test_long_random_histories_keep_the_limits(block):
