--- a/bench/decisions/__main__.py
+++ b/bench/decisions/__main__.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-_WORKERS = 4
+_WORKERS = 6
 _HEADER = (
     f"{'size':15}{'scenario':20}{'policy':16}"
     f"{'p50':>7}{'p99':>8}{'p99.9':>8}{'goodput':>9}{'good%':>7}"
