--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,10 @@
 bench-hop: $(STAMP)
 	$(BIN)/python -m bench.hop
 
+.PHONY: bench-moves
+bench-moves: $(STAMP)
+	$(BIN)/python -m bench.moves
+
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
 	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes for the capacity page, each module run by itself."""
--- /dev/null
+++ b/bench/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded moves of versions: how often and how fast they end rightly."""
--- a/packages/policy/src/magnoliacrank/policy/rollout.py
+++ b/packages/policy/src/magnoliacrank/policy/rollout.py
@@ -49,7 +49,7 @@
     testers: int = 6
     """Instances that may each take a version back."""
 
-    suspicion: float = 10.0
+    suspicion: float = 50.0
     """Evidence of a fault that holds a route where it is."""
 
     usable_time: float = 0.8
@@ -248,9 +248,10 @@
             self._close_block(state)
 
     def on_tick(self) -> None:
-        """Ends the open blocks; called about twice a second."""
+        """Ends the blocks that are due; called about twice a second."""
         for route in self._routes.values():
-            self._close_block(route)
+            if route.samples.on_tick():
+                self._close_block(route)
 
     def on_evidence(self, evidence: rollout_evidence.Evidence) -> None:
         """Takes a peer's evidence; repeats and older messages are dropped."""
--- a/packages/policy/src/magnoliacrank/policy/rollout_evidence.py
+++ b/packages/policy/src/magnoliacrank/policy/rollout_evidence.py
@@ -10,6 +10,8 @@
 
 _MAX_BLOCK_ERRORS = 4
 _MIN_BLOCK_REQUESTS = 64
+_MIN_FAULTY_BLOCK_REQUESTS = 32
+_MAX_BLOCK_TICKS = 10
 _REFERENCE_SAMPLES = 128
 _MIN_REFERENCE_SAMPLES = 20
 _SLOW_QUANTILE = 0.9
@@ -130,6 +132,14 @@
             self._refer(latency_s)
         return False
 
+    def on_tick(self) -> bool:
+        """Counts a tick; returns whether the block has enough to tell."""
+        self._ticks += 1
+        requests = sum(self._requests)
+        if self._ticks >= _MAX_BLOCK_TICKS or requests >= _MIN_BLOCK_REQUESTS:
+            return True
+        return any(self._errors) and requests >= _MIN_FAULTY_BLOCK_REQUESTS
+
     def close_block(self) -> Block | None:
         """Ends the block and returns it, or None when it is empty."""
         if not any(self._requests):
@@ -176,6 +186,7 @@
         self._slow_s = max(usual_s * _SLOW_FACTOR, usual_s + _SLOW_MARGIN_S)
 
     def _clear(self) -> None:
+        self._ticks = 0
         self._requests = [0, 0]
         self._errors = [0, 0]
         self._timed = [0, 0]
--- a/packages/standins/src/magnoliacrank/standins/version_traffic.py
+++ b/packages/standins/src/magnoliacrank/standins/version_traffic.py
@@ -46,6 +46,9 @@
     """Share of the new version on the route."""
 
 
+Condition = Callable[[Moment], bool]
+"""Whether a moment is one of a kind."""
+
 BehaviourAt = Callable[[Moment], Behaviour]
 """Behaviour of a version at a moment."""
 
