--- a/packages/state/src/magnoliacrank/state/log_follower.py
+++ b/packages/state/src/magnoliacrank/state/log_follower.py
@@ -230,7 +230,9 @@
                 page.end_offset,
                 self._state.next_offset,
             )
-            self._set_readiness(readiness_lib.Reason.LOG_REWOUND)
+            # A fold that was ready stays in force; the log may only lag.
+            if not self._readiness.is_ready:
+                self._set_readiness(readiness_lib.Reason.LOG_REWOUND)
             return False
         if page.oldest_offset > self._state.next_offset:
             return self._scan_for_snapshot(page)
--- a/packages/state/tests/test_terms_and_moves.py
+++ b/packages/state/tests/test_terms_and_moves.py
@@ -360,6 +360,28 @@
     virtual_time.run(with_nodes(scenario))
 
 
+@pytest.mark.parametrize("was_ready", [True, False])
+def test_log_that_ends_before_the_fold_takes_nothing_back(was_ready):
+    async def scenario(_, nodes):
+        await begin_move(nodes[0])
+        shorter = memory_log.MemoryLog()
+        follower = log_follower.LogFollower(shorter)
+        if was_ready:
+            follower.on_peer_snapshot(nodes[0].follower.snapshot())
+        else:
+            follower._state = nodes[0].state
+        before = follower.state
+        await follower.start()
+        await asyncio.sleep(10)
+        reason = follower.readiness.reason
+        await follower.close()
+        assert follower.state is before
+        assert (reason is readiness.Reason.READY) == was_ready
+        assert (reason is readiness.Reason.LOG_REWOUND) != was_ready
+
+    virtual_time.run(with_nodes(scenario))
+
+
 def test_listing_change_is_a_capacity_change():
     async def scenario(_, nodes):
         await begin_move(nodes[0])
