--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Slopes for the capacity page, each module run by itself."""
+"""Slopes of cost by size, for docs/CAPACITY.md."""
