--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,11 @@
 bench-moves: $(STAMP)
 	$(BIN)/python -m bench.moves
 
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity.peers_slopes
+	$(BIN)/python -m bench.capacity.crew_changes
+	$(BIN)/python -m bench.capacity.state_slopes
+
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
 	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
--- a/packages/policy/tests/test_slot_histories.py
+++ b/packages/policy/tests/test_slot_histories.py
@@ -21,7 +21,6 @@
 from magnoliacrank.policy import slot_account
 from magnoliacrank.policy import slot_hold
 from magnoliacrank.policy import slot_ledger
-from magnoliacrank.policy import slot_messages
 from magnoliacrank.policy import slot_timing
 
 _NAMES = ("a", "b", "c", "d")
@@ -171,10 +170,7 @@
     def ask(self, each):
         if each.is_paused:
             return
-        wanted = tuple(
-            slot_messages.SlotCount(server_id, 2) for server_id in _SLOTS
-        )
-        self.send(each.ledger.ask_loans(wanted, self.clock(each)))
+        self.send(each.ledger.ask_loans(_SLOTS, 3, self.clock(each)))
 
     def dispatch(self, each, server_id):
         if each.is_paused:
@@ -452,6 +448,11 @@
     assert any(_run(seed).violations() for seed in range(60))
 
 
+def test_share_that_fell_and_rose_again_is_not_taken_for_settled():
+    """A member at the record between must not trust the newer statement."""
+    assert _run(1195, 3 * _STEPS).violations() == ()
+
+
 @pytest.mark.histories
 @pytest.mark.parametrize("block", range(_LONG_BLOCKS))
 def test_long_random_histories_keep_the_limits(block):
