--- a/Makefile
+++ b/Makefile
@@ -54,9 +54,14 @@
 bench-hop: $(STAMP)
 	$(BIN)/python -m bench.hop
 
+.PHONY: bench-moves
+bench-moves: $(STAMP)
+	$(BIN)/python -m bench.moves
+
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity.peers_slopes
 	$(BIN)/python -m bench.capacity.crew_changes
+	$(BIN)/python -m bench.capacity.state_slopes
 
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
--- a/packages/state/tests/test_log_histories.py
+++ b/packages/state/tests/test_log_histories.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from magnoliacrank.model import configuration
 from magnoliacrank.standins import memory_log
@@ -320,3 +321,15 @@
     assert broken_rules(folds, [], [], [("x", refused)]) == {
         "not published is in the log"
     }
+
+
+@pytest.mark.histories
+def test_longer_histories_break_no_rule():
+    stateful.run_state_machine_as_test(
+        LogHistories,
+        settings=settings(
+            TestLogHistories.settings,
+            max_examples=800,
+            stateful_step_count=80,
+        ),
+    )
