Count failures of requests under way together once

Cause: requests on silent connections run out of time one after the other and three of them ejected a healthy server; 50 ms told joint resets only. Ruled out: looking for silence sooner (0.2, 0.1, 0.06 s: no difference). Change: a reset or timeout is a new failure only if its request was sent after the last one. Tests: resets 0.2 s apart of requests sent together ejected before; that case is replaced by failures of requests sent one after the other, which eject.

--- a/packages/policy/src/magnoliacrank/policy/router.py
+++ b/packages/policy/src/magnoliacrank/policy/router.py
@@ -163,8 +163,8 @@
         state = self._end(dispatch)
         if state is None or kind is sample.FailureKind.CALLER_GONE:
             return
-        age_s = now_s - dispatch.started_s
-        self._on_kind(state, kind, age_s / dispatch.expected_s, now_s)
+        ratio = (now_s - dispatch.started_s) / dispatch.expected_s
+        self._on_kind(state, kind, ratio, dispatch.started_s, now_s)
         self._note_change(state)
 
     def on_probe(
@@ -178,7 +178,7 @@
         if state is None:
             return
         if isinstance(outcome, sample.FailureKind):
-            self._on_kind(state, outcome, 1.0, now_s)
+            self._on_kind(state, outcome, 1.0, now_s, now_s)
         elif outcome.report is not None:
             state.on_report(outcome.report, len(state.in_flight), now_s)
             state.on_probe_answer(now_s)
@@ -329,15 +329,16 @@
         state: server_state.ServerState,
         kind: sample.FailureKind,
         ratio: float,
+        started_s: float,
         now_s: float,
     ) -> None:
         self._count(is_failure=True)
         if kind is sample.FailureKind.CONNECT_FAILED:
             state.on_refused_connection(now_s)
         elif kind is sample.FailureKind.TIMEOUT:
-            state.on_timeout(ratio, self._failure_share, now_s)
+            state.on_timeout(ratio, started_s, self._failure_share, now_s)
         else:
-            state.on_break(self._failure_share, now_s)
+            state.on_break(started_s, self._failure_share, now_s)
 
     def _count(self, *, is_failure: bool) -> None:
         target = 1.0 if is_failure else 0.0
--- a/packages/policy/src/magnoliacrank/policy/server_state.py
+++ b/packages/policy/src/magnoliacrank/policy/server_state.py
@@ -20,7 +20,6 @@
 _RATIO_WEIGHT = 0.3
 _RATIO_MEMORY_S = 1.0
 _TRICKLE_S = 0.05
-_BREAK_WINDOW_S = 0.05
 _TRUSTED = 0.5
 _MIN_SUCCESS = 0.1
 _OUT_WEIGHT = 4.0
@@ -32,7 +31,7 @@
     __slots__ = (
         "_alarm",
         "_before",
-        "_break_s",
+        "_failed_s",
         "_incarnation",
         "_is_down",
         "_load",
@@ -67,7 +66,7 @@
         self._ratio_s = now_s
         self._incarnation = 0
         self._probed_s = now_s
-        self._break_s = -math.inf
+        self._failed_s = -math.inf
         self._is_down = False
         self._alarm = slow_alarm.SlowAlarm()
         self._before: tuple[int, int] | None = None
@@ -192,25 +191,31 @@
         self._fail(peers_share, now_s)
 
     def on_timeout(
-        self, ratio: float, peers_share: float, now_s: float
+        self, ratio: float, started_s: float, peers_share: float, now_s: float
     ) -> None:
-        """Takes in a request that ran out of time."""
+        """Takes in a request that ran out of time.
+
+        Requests that were under way together, such as those on connections
+        that fell silent, count as one failure.
+        """
+        if not self._is_news(started_s, now_s):
+            return
         self._add_ratio(ratio, now_s)
         if self._alarm.add(ratio):
             self._ramp.on_slow(now_s)
         self._fail(peers_share, now_s)
 
-    def on_break(self, peers_share: float, now_s: float) -> None:
+    def on_break(
+        self, started_s: float, peers_share: float, now_s: float
+    ) -> None:
         """Takes in a connection that broke under a request.
 
         It may be the first sign of a restart, so the server is held back
-        until an answer shows the same incarnation. Connections that break
-        together count as one failure.
+        until an answer shows the same incarnation. Connections that were
+        busy together and break count as one failure.
         """
         self.on_restart(now_s)
-        is_same_event = now_s - self._break_s < _BREAK_WINDOW_S
-        self._break_s = now_s
-        if not is_same_event:
+        if self._is_news(started_s, now_s):
             self._fail(peers_share, now_s)
 
     def on_refused_connection(self, now_s: float) -> None:
@@ -318,6 +323,13 @@
         self._ratio = kept + (ratio - kept) * _RATIO_WEIGHT
         self._ratio_s = now_s
 
+    def _is_news(self, started_s: float, now_s: float) -> bool:
+        """Returns whether a request was sent after the last failure."""
+        if started_s < self._failed_s:
+            return False
+        self._failed_s = now_s
+        return True
+
     def _fail(self, peers_share: float, now_s: float) -> None:
         self._outlier.on_failure()
         is_trial = self.life is life.Life.SUSPECT
