--- a/packages/policy/src/magnoliacrank/policy/server_state.py
+++ b/packages/policy/src/magnoliacrank/policy/server_state.py
@@ -31,6 +31,7 @@
     __slots__ = (
         "_alarm",
         "_before",
+        "_failed_s",
         "_incarnation",
         "_is_down",
         "_load",
@@ -65,6 +66,7 @@
         self._ratio_s = now_s
         self._incarnation = 0
         self._probed_s = now_s
+        self._failed_s = -math.inf
         self._is_down = False
         self._alarm = slow_alarm.SlowAlarm()
         self._before: tuple[int, int] | None = None
@@ -171,7 +173,7 @@
             self._readmit()
             return
         self._move(life.Event.ANSWERED)
-        if self._alarm.add(ratio):
+        if self._alarm.add(ratio) and not self._ramp.is_guided:
             self._ramp.on_slow(now_s)
         self._ramp.on_served(ratio, now_s)
         self._settle()
@@ -189,22 +191,32 @@
         self._fail(peers_share, now_s)
 
     def on_timeout(
-        self, ratio: float, peers_share: float, now_s: float
+        self, ratio: float, started_s: float, peers_share: float, now_s: float
     ) -> None:
-        """Takes in a request that ran out of time."""
+        """Takes in a request that ran out of time.
+
+        Requests that were under way together, such as those on connections
+        that fell silent, count as one failure.
+        """
+        if not self._is_news(started_s, now_s):
+            return
         self._add_ratio(ratio, now_s)
         if self._alarm.add(ratio):
             self._ramp.on_slow(now_s)
         self._fail(peers_share, now_s)
 
-    def on_break(self, peers_share: float, now_s: float) -> None:
+    def on_break(
+        self, started_s: float, peers_share: float, now_s: float
+    ) -> None:
         """Takes in a connection that broke under a request.
 
         It may be the first sign of a restart, so the server is held back
-        until an answer shows the same incarnation.
+        until an answer shows the same incarnation. Connections that were
+        busy together and break count as one failure.
         """
         self.on_restart(now_s)
-        self._fail(peers_share, now_s)
+        if self._is_news(started_s, now_s):
+            self._fail(peers_share, now_s)
 
     def on_refused_connection(self, now_s: float) -> None:
         """Takes in a refused connection: nothing listens there now."""
@@ -311,6 +323,13 @@
         self._ratio = kept + (ratio - kept) * _RATIO_WEIGHT
         self._ratio_s = now_s
 
+    def _is_news(self, started_s: float, now_s: float) -> bool:
+        """Returns whether a request was sent after the last failure."""
+        if started_s < self._failed_s:
+            return False
+        self._failed_s = now_s
+        return True
+
     def _fail(self, peers_share: float, now_s: float) -> None:
         self._outlier.on_failure()
         is_trial = self.life is life.Life.SUSPECT
