Show serve as a process: settings, signals, log away, a request in flight

Cause: the whole path ran in one process only; nothing showed the program's exit codes, its shutdown or its start without a log. Conclusion: a planned stop cuts nothing in the tested case.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	$(BIN)/python -m bench.capacity.peers_slopes
 	$(BIN)/python -m bench.capacity.crew_changes
 	$(BIN)/python -m bench.capacity.state_slopes
+	$(BIN)/python -m bench.capacity.policy_slopes
 
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
@@ -99,5 +100,6 @@
 	rm -rf $(SITE)/magnoliacrank $(SITE)/magnoliacrank_*
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
 		--target $(SITE) $(foreach name,$(PACKAGES),./packages/$(name))
+	find $(SITE) -name direct_url.json -delete
 	$(BIN)/python tools/build_binary.py $(SITE)
 	SHIV_ROOT=build/unpacked dist/magnoliacrank --help > build/help.txt
--- /dev/null
+++ b/packages/cli/tests/test_serve.py
@@ -0,0 +1,229 @@
+"""Tests of `serve` as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import re
+import signal
+import sys
+
+import aiohttp
+import attrs
+import pytest
+
+from magnoliacrank.cli import demo_world
+from magnoliacrank.cli import list_reader
+from magnoliacrank.cli import log_session
+from magnoliacrank.cli import publish
+from magnoliacrank.model import ids
+from magnoliacrank.model import instance
+from magnoliacrank.model import request
+from magnoliacrank.model import verdict
+from magnoliacrank.standins import backend_server
+from magnoliacrank.standins import backend_server_settings
+from magnoliacrank.standins import caller
+from magnoliacrank.standins import instance_list
+from magnoliacrank.standins import log_service
+
+_PROGRAM = str(pathlib.Path(sys.executable).with_name("magnoliacrank"))
+_EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+_LISTENS = re.compile(rb"serve: (\S+) listens on \S+:(\d+)")
+_DONE = verdict.Outcome.DONE
+
+
+async def _spawn(*arguments, **variables):
+    return await asyncio.create_subprocess_exec(
+        _PROGRAM,
+        *arguments,
+        env={**os.environ, **variables},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@attrs.define
+class _Platform:
+    log: log_service.LogServiceStandIn
+    listing: instance_list.InstanceListStandIn
+
+    def arguments(self, name, data_centre, *more):
+        return (
+            "serve",
+            f"--instance-id={name}",
+            f"--data-centre={data_centre}",
+            "--http-port=0",
+            "--peer-port=0",
+            f"--log-url={self.log.url}",
+            f"--instances-url={self.listing.url}",
+            "--list-period-s=0.1",
+            "--entry-ttl-s=0.2",
+            *more,
+        )
+
+
+@pytest.fixture
+async def platform():
+    log = log_service.LogServiceStandIn()
+    listing = instance_list.InstanceListStandIn(
+        instance_list.MemoryInstanceList()
+    )
+    await log.start()
+    await listing.start()
+    yield _Platform(log, listing)
+    await listing.close()
+    await log.close()
+
+
+async def _port(process):
+    while True:
+        line = await process.stderr.readline()
+        assert line, "the process ended before it listened"
+        found = _LISTENS.search(line)
+        if found:
+            return int(found[2])
+
+
+async def _publish(platform):
+    session = log_session.LogSession(platform.log.url, "magnoliacrank")
+    await session.start(10.0)
+    names = ("plans.yaml", "allowances.yaml")
+    texts = [(_EXAMPLES / name).read_text(encoding="utf-8") for name in names]
+    lists = list_reader.read_lists(names[0], texts[0], names[1], texts[1])
+    await publish.publish_lists(session, lists, 0, "test", 10.0)
+    await session.close()
+
+
+def _entry(name, data_centre, port):
+    return instance.EntryInstance(
+        instance_id=ids.InstanceId(name),
+        data_centre=ids.DataCentre(data_centre),
+        host="127.0.0.1",
+        http_port=port,
+        peer_port=1,
+        incarnation=ids.Incarnation(1),
+    )
+
+
+async def _send_until_done(one, wanted):
+    result = await one.send(wanted)
+    while result.outcome is not _DONE:
+        await asyncio.sleep(0.1)
+        result = await one.send(wanted)
+    return result
+
+
+async def _until_busy(server):
+    while True:
+        if server.in_flight:
+            return
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "variables", "wanted"),
+    [
+        (["serve"], {}, b"required"),
+        (
+            ["check", "--plans=p", "--allowances=a", "--no-such-flag"],
+            {},
+            b"--no-such-flag",
+        ),
+        (["serve", "--http-port=70000"], {}, b"'70000'"),
+        (["serve"], {"MAGNOLIACRANK_PEER_PORT": "x"}, b"--peer-port"),
+        (["serve", "--log-url=ftp://x"], {}, b"expected http://"),
+        (["serve", "--host=example.org"], {}, b"expected an IP number"),
+        (["publish", "--base-version=-1"], {}, b"whole number"),
+    ],
+)
+async def test_wrong_setting_ends_with_one_line_and_exit_2(
+    arguments, variables, wanted
+):
+    process = await _spawn(*arguments, **variables)
+    _, errors = await process.communicate()
+    assert process.returncode == 2
+    assert wanted in errors
+    assert errors.count(b"\n") == 1
+
+
+async def test_serve_port_in_use_ends_with_exit_1(platform):
+    port = platform.log.url.rpartition(":")[2]
+    process = await _spawn(
+        *platform.arguments("e1", "rennes", f"--http-port={port}")
+    )
+    _, errors = await process.communicate()
+    assert process.returncode == 1
+    assert b"magnoliacrank serve: " in errors
+
+
+async def test_serve_carries_requests_and_stops_gracefully(platform):
+    journalled = backend_server.BackendServer(
+        backend_server_settings.BackendServerSettings(
+            service=demo_world.SERVICE,
+            version="1.0",
+            data_centre="rennes",
+            service_time_s=0.5,
+        )
+    )
+    await journalled.start()
+    platform.listing.listing.put_server(journalled.listed)
+    process = await _spawn(*platform.arguments("e1", "rennes"))
+    port = await _port(process)
+    platform.listing.listing.put_instance(_entry("e1", "rennes", port))
+    await _publish(platform)
+    url = f"http://127.0.0.1:{port}"
+    one = caller.Caller(
+        demo_world.CUSTOMER, demo_world.SERVICE, "rennes", [url]
+    )
+    await one.start()
+    confirm = caller.Wanted(
+        "POST", "/refills/1", request.RequestClass.AT_MOST_ONCE
+    )
+    await _send_until_done(one, confirm)
+    in_flight = asyncio.create_task(one.send(confirm))
+    await _until_busy(journalled)
+    process.send_signal(signal.SIGTERM)
+    result = await in_flight
+    _, errors = await process.communicate()
+    await one.close()
+    await journalled.close()
+    assert result.outcome is _DONE
+    assert process.returncode == 0
+    assert b"serve: Closed." in errors
+    assert not journalled.journal.doubled_keys()
+
+
+async def test_second_signal_stops_promptly(platform):
+    process = await _spawn(
+        *platform.arguments("e1", "rennes", "--entry-ttl-s=3600")
+    )
+    await _port(process)
+    process.send_signal(signal.SIGTERM)
+    line = b""
+    while b"Leaving" not in line:
+        line = await process.stderr.readline()
+    process.send_signal(signal.SIGTERM)
+    await process.communicate()
+    assert process.returncode == 0
+
+
+async def test_serve_without_log_is_not_ready_and_says_so(platform):
+    await platform.log.close()
+    process = await _spawn(*platform.arguments("e1", "rennes"))
+    port = await _port(process)
+    async with aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{port}"
+        async with session.get(f"{url}/healthz") as answer:
+            assert answer.status == 200
+        reason = "starting"
+        while reason == "starting":
+            async with session.get(f"{url}/readyz") as answer:
+                assert answer.status == 503
+                reason = (await answer.text()).strip()
+        async with session.get(f"{url}/v1/entries?service=rounds") as answer:
+            assert answer.status == 503
+    process.terminate()
+    process.terminate()
+    await process.communicate()
+    assert reason == "log-unavailable"
