Spend the measuring budget, look at quiet services once a second, size it

Cause: silence probes of the pools were not charged to the measuring budget; a quiet instance used 12.2 % of a core at 790 upstreams, since it looked at each backend server of each service 20 times a second.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 	$(BIN)/python -m bench.capacity.crew_changes
 	$(BIN)/python -m bench.capacity.state_slopes
 	$(BIN)/python -m bench.capacity.policy_slopes
+	$(BIN)/python -m bench.capacity.serve_idle
 
 # The output is committed, so only a change of peer.proto needs this.
 generate: $(STAMP)
--- a/packages/gateway/src/magnoliacrank/gateway/crew_proposals.py
+++ b/packages/gateway/src/magnoliacrank/gateway/crew_proposals.py
@@ -63,14 +63,9 @@
         runtime: service_runtime.ServiceRuntime,
         candidates: crew_planner.Candidates,
     ) -> records.CrewRecord | None:
-        is_in = self._services.lists.is_in
         need = crew_planner.CrewNeed(
             service=runtime.name,
-            servers=tuple(
-                one
-                for one in self._services.servers_of(runtime.name)
-                if is_in(one.data_centre)
-            ),
+            servers=self._services.working_servers_of(runtime.name),
             current=runtime.crew,
         )
         proposal = self._planner.propose(need, candidates, self._clock())
--- a/packages/gateway/src/magnoliacrank/gateway/instance_status.py
+++ b/packages/gateway/src/magnoliacrank/gateway/instance_status.py
@@ -120,6 +120,7 @@
             else [member.instance_id for member in crew.members],
             "in_flight": runtime.gate.in_flight,
             "waiting": runtime.gate.waiting,
+            "probes_spent": runtime.measuring.spent,
             "move": None
             if moving is None
             else {
--- a/packages/gateway/src/magnoliacrank/gateway/service_directory.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_directory.py
@@ -28,6 +28,8 @@
 
 _EMPTY = configuration.Configuration()
 
+_ServersByService = dict[ids.ServiceName, tuple[server.BackendServer, ...]]
+
 
 class ServiceDirectory:
     """Keeps one runtime for each service of the configuration in force.
@@ -59,6 +61,8 @@
             ids.ServiceName, service_runtime.ServiceRuntime
         ] = {}
         self._servers: Sequence[server.BackendServer] = ()
+        self._servers_by_service: _ServersByService = {}
+        self._working_by_service: _ServersByService = {}
         self._closing: set[asyncio.Task[None]] = set()
 
     @property
@@ -91,7 +95,13 @@
         self, name: ids.ServiceName
     ) -> tuple[server.BackendServer, ...]:
         """Returns the listed backend servers of a service."""
-        return tuple(one for one in self._servers if one.service == name)
+        return self._servers_by_service.get(name, ())
+
+    def working_servers_of(
+        self, name: ids.ServiceName
+    ) -> tuple[server.BackendServer, ...]:
+        """Returns those in data centres that take work."""
+        return self._working_by_service.get(name, ())
 
     def set_configuration(self, lists: configuration.Configuration) -> None:
         """Puts a configuration into force."""
@@ -104,7 +114,9 @@
             self._add(name)
         for name in set(self._services) - planned:
             self._remove(name)
-        self.set_member_share(self._member_share)
+        self._set_allowances()
+        self._set_measuring()
+        self._group_servers()
         self._apply_data_centres()
 
     def on_shares(self, change: move_table.SharesChanged) -> None:
@@ -126,6 +138,8 @@
     def set_servers(self, servers: Sequence[server.BackendServer]) -> None:
         """Takes in the listed backend servers of all services."""
         self._servers = servers
+        self._group_servers()
+        self._apply_data_centres()
         for name, runtime in self._services.items():
             runtime.set_servers(self.servers_of(name))
 
@@ -135,7 +149,13 @@
         Args:
             share: From 0 to 1.
         """
+        if share == self._member_share:
+            return
         self._member_share = share
+        self._set_allowances()
+
+    def _set_allowances(self) -> None:
+        share = self._member_share
         self._allowances.set_allowances(
             self._lists.allowances, share, self._clock()
         )
@@ -181,6 +201,28 @@
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
+    def _set_measuring(self) -> None:
+        for plan in self._lists.plans:
+            allowance = self._lists.find_allowance(plan.customer)
+            if allowance is None:
+                continue
+            rate_per_s = allowance.measuring_rate_per_s / len(plan.services)
+            for service in plan.services:
+                self._services[service.name].measuring.set_rate(rate_per_s)
+
+    def _group_servers(self) -> None:
+        grouped: dict[ids.ServiceName, list[server.BackendServer]] = {}
+        for one in self._servers:
+            grouped.setdefault(one.service, []).append(one)
+        self._servers_by_service = {
+            name: tuple(servers) for name, servers in grouped.items()
+        }
+        is_in = self._lists.is_in
+        self._working_by_service = {
+            name: tuple(one for one in servers if is_in(one.data_centre))
+            for name, servers in grouped.items()
+        }
+
     def _apply_data_centres(self) -> None:
         for name, runtime in self._services.items():
             found = self._lists.find_service(name)
--- a/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_runtime.py
@@ -9,7 +9,7 @@
 import attrs
 
 from magnoliacrank.gateway import admission_gate
-from magnoliacrank.gateway import pool_events
+from magnoliacrank.gateway import measuring
 from magnoliacrank.gateway import server_pool
 from magnoliacrank.gateway import server_pools
 from magnoliacrank.gateway import slot_waiters
@@ -36,6 +36,9 @@
     from magnoliacrank.policy import allowance_meter
 
 
+_QUIET_PERIOD_S = 1.0
+"""Seconds between two looks at a service without requests."""
+
 Outbox = Callable[[Sequence[slot_messages.Outgoing]], None]
 """Sends messages to other members of a crew."""
 
@@ -93,9 +96,12 @@
             admission.Admission(allowances), clock
         )
         self._servers: dict[ids.ServerId, server.BackendServer] = {}
-        self._pools = server_pools.ServerPools(pool_events.NullListener())
+        self._measuring = measuring.Measuring(clock)
+        self._pools = server_pools.ServerPools(self._measuring)
         self._crew: crew_model.Crew | None = None
         self._waiters = slot_waiters.SlotWaiters()
+        self._quiet_until_s = clock()
+        self._is_member = False
         self._retries = retry_budget.RetryBudget()
         self._suspects = suspect_guard.SuspectGuard(
             own.instance_id, name, send, clock
@@ -121,6 +127,11 @@
         """Where requests wait for their turn."""
         return self._gate
 
+    @property
+    def measuring(self) -> measuring.Measuring:
+        """This instance's part of the measuring budget."""
+        return self._measuring
+
     @property
     def suspects(self) -> suspect_guard.SuspectGuard:
         """Requests that crash backend servers."""
@@ -143,13 +154,7 @@
     @property
     def is_member(self) -> bool:
         """Whether this instance belongs to the crew."""
-        if self._crew is None:
-            return False
-        return any(
-            member.instance_id == self._own.instance_id
-            and member.incarnation == self._own.incarnation
-            for member in self._crew.members
-        )
+        return self._is_member
 
     def set_servers(self, servers: Sequence[server.BackendServer]) -> None:
         """Takes in the listed backend servers of the service."""
@@ -169,8 +174,16 @@
             return
         now_s = self._clock()
         self._crew = record
+        self._is_member = any(
+            member.instance_id == self._own.instance_id
+            and member.incarnation == self._own.incarnation
+            for member in record.members
+        )
         self._ledger.set_crew(record, now_s)
         self._suspects.set_crew(record)
+        self._measuring.set_members(
+            len(record.members) if self._is_member else 0
+        )
         self._refresh(now_s)
         if not self.is_member:
             self._gate.dismiss()
@@ -179,9 +192,15 @@
     def tick(self) -> None:
         """Does what is due; called a few times a second."""
         now_s = self._clock()
+        is_short = bool(self._gate.waiting or self._waiters.count)
+        is_busy = is_short or self._gate.in_flight > 0
+        if not is_busy and now_s < self._quiet_until_s:
+            return
+        self._quiet_until_s = now_s + _QUIET_PERIOD_S
         self._outbox(self._ledger.tick(now_s))
-        self._refresh(now_s)
-        if self._gate.waiting or self._waiters.count:
+        if is_busy or self._is_member:
+            self._refresh(now_s)
+        if is_short:
             self._ask_loans(now_s)
 
     def reserve(
