Build refusals in one place

Cause: refusals of the front side and of the request path were built twice, with bodies that differed: one had no message. Change: one module builds both; the status line moved to the framing. The test of the refusal's body now states the whole documented body, message included, instead of the one without it; it is as strict as before. Conclusion: every refusal has the same form.

--- a/packages/gateway/src/magnoliacrank/gateway/caller_connection.py
+++ b/packages/gateway/src/magnoliacrank/gateway/caller_connection.py
@@ -17,7 +17,7 @@
 from magnoliacrank.gateway import body
 from magnoliacrank.gateway import head_rules
 from magnoliacrank.gateway import inbound_exchange
-from magnoliacrank.gateway import refusals
+from magnoliacrank.gateway import refusal
 from magnoliacrank.model import verdict as verdicts
 
 if TYPE_CHECKING:
@@ -340,7 +340,7 @@
             self._pause_transport_reading()
 
     def _refuse(self, status: int, verdict: verdicts.Verdict) -> None:
-        self.send(refusals.closing_answer(status, verdict))
+        self.send(refusal.closing_answer(status, verdict))
         self._linger()
 
     def _linger(self) -> None:
--- a/packages/gateway/src/magnoliacrank/gateway/framing.py
+++ b/packages/gateway/src/magnoliacrank/gateway/framing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 from typing import TYPE_CHECKING
 
 from aiohttp import hdrs
@@ -35,6 +36,12 @@
 """Spellings of header names that are remembered."""
 
 
+_STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}"
+    for status in http.HTTPStatus
+}
+
+
 class HeaderInjectionError(ValueError):
     """A header name or value holds a line end or a null character."""
 
@@ -121,3 +128,8 @@
     ):
         raise HeaderInjectionError(first_line)
     return text.encode("utf-8", "surrogateescape")
+
+
+def status_line(status: int) -> str:
+    """Returns the status line of an answer without its line end."""
+    return _STATUS_LINES.get(status) or f"HTTP/1.1 {status} Status"
--- a/packages/gateway/src/magnoliacrank/gateway/inbound_exchange.py
+++ b/packages/gateway/src/magnoliacrank/gateway/inbound_exchange.py
@@ -13,7 +13,6 @@
 
 from magnoliacrank.gateway import body
 from magnoliacrank.gateway import framing
-from magnoliacrank.gateway import refusals
 
 if TYPE_CHECKING:
     from aiohttp import http_parser
@@ -213,7 +212,7 @@
         """
         if self._answer_state is not AnswerState.PENDING:
             return
-        head = framing.head_bytes(refusals.status_line(status), headers)
+        head = framing.head_bytes(framing.status_line(status), headers)
         self._mode = self._choose_mode(status, length)
         if self._mode is BodyMode.CHUNKED:
             head += _CHUNKED_LINE
--- a/packages/gateway/src/magnoliacrank/gateway/refusal.py
+++ b/packages/gateway/src/magnoliacrank/gateway/refusal.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from magnoliacrank.gateway import framing
 from magnoliacrank.model import headers
 from magnoliacrank.model import verdict
 
@@ -104,3 +105,20 @@
     if status in _STATUSES_TO_RETRY:
         fields.append(("Retry-After", _RETRY_AFTER_S))
     return Refusal(status=status, headers=tuple(fields), body=body)
+
+
+def closing_answer(status: int, value: verdict.Verdict) -> bytes:
+    """Returns a whole answer after which the connection closes.
+
+    Args:
+        status: HTTP status, which may say more than the verdict's own.
+        value: What is known about the request.
+    """
+    refused = build_refusal(value)
+    fields = [
+        *refused.headers,
+        ("Content-Length", str(len(refused.body))),
+        ("Connection", "close"),
+    ]
+    head = framing.head_bytes(framing.status_line(status), fields)
+    return head + b"\r\n" + refused.body
--- a/packages/gateway/tests/test_front_server.py
+++ b/packages/gateway/tests/test_front_server.py
@@ -218,7 +218,10 @@
         answer = await _talk(server, _ATTACKS["both lengths"][1])
         assert b"Magnoliacrank-Verdict: not-run\r\n" in answer
         assert b"Magnoliacrank-Reason: bad-request\r\n" in answer
-        assert answer.endswith(b'{"verdict":"not-run","reason":"bad-request"}')
+        assert answer.endswith(
+            b'\r\n\r\n{"verdict":"not-run","reason":"bad-request",'
+            b'"message":"the request is not valid"}'
+        )
         assert handler.targets == []
 
 
