Remember in the verdict that an earlier attempt may have run

Cause: found by reading. A request whose first attempt broke in the middle of the answer and whose next found no server was reported with the verdict of the last step, not-run, though a server had run it. Ruled out: requests that run at most once; they are not retried after an unknown outcome. Change: a verdict that may have run stands against all later ones; a delegated run is accepted from a live instance only. Conclusion: not-run is said only when no attempt may have run.

--- a/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
+++ b/packages/gateway/src/magnoliacrank/gateway/dispatcher.py
@@ -90,6 +90,9 @@
     content: bytes | body.BodySource
     excluded: set[ids.ServerId] = attrs.Factory(set)
     attempts: int = 0
+    unknown: verdict.Verdict | None = None
+    """Verdict of an attempt that may have run; later ones can't undo it."""
+
     service_s: float | None = None
 
     @property
@@ -182,15 +185,17 @@
         while True:
             reservation = await self._reserve(journey, runtime)
             if not isinstance(reservation, service_runtime.Reservation):
-                return reservation
+                return journey.unknown or reservation
             result = await self._attempt_watched(journey, runtime, reservation)
             if not isinstance(result, exchange_failure.ExchangeFailure):
                 return result
+            if result.verdict.may_have_run:
+                journey.unknown = result.verdict
             journey.attempts += 1
             journey.excluded.add(reservation.dispatch.server_id)
             again = self._decide_retry(journey, runtime, result)
             if again is None:
-                return result.verdict
+                return journey.unknown or result.verdict
             if again.pause_s:
                 await asyncio.sleep(again.pause_s)
                 journey.excluded.clear()
--- a/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
+++ b/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
@@ -19,6 +19,7 @@
 from magnoliacrank.gateway import request_reader
 from magnoliacrank.gateway import service_directory
 from magnoliacrank.model import headers
+from magnoliacrank.model import ids
 from magnoliacrank.model import request
 from magnoliacrank.model import verdict
 from magnoliacrank.policy import key_entry
@@ -108,12 +109,19 @@
         )
         if isinstance(routed, request_reader.InvalidRequest):
             return _unconsulted(exchange, routed.reason)
-        if headers.DELEGATED in exchange.headers or not _is_once(routed):
+        if not _is_once(routed) or self._is_delegated(exchange):
             return await self._carry_unkeyed(exchange, routed)
         if routed.route.key_mode is request.KeyMode.TICKETED:
             return await self._carry_ticketed(exchange, routed)
         return verdict.not_run(verdict.Reason.CLAIM_UNAVAILABLE)
 
+    def _is_delegated(self, exchange: inbound_exchange.InboundExchange) -> bool:
+        """Returns whether the owner of the request's key asks for its run."""
+        if headers.DELEGATED not in exchange.headers:
+            return False
+        sender = ids.InstanceId(exchange.headers.get(headers.FORWARDED_BY, ""))
+        return self._parts.peers.find(sender) is not None
+
     async def _carry_unkeyed(
         self,
         exchange: inbound_exchange.InboundExchange,
--- /dev/null
+++ b/packages/gateway/tests/test_dispatcher.py
@@ -0,0 +1,122 @@
+"""Tests of the verdict after several attempts."""
+
+from __future__ import annotations
+
+import types
+
+import multidict
+import pytest
+
+from magnoliacrank.gateway import dispatcher
+from magnoliacrank.gateway import exchange_failure
+from magnoliacrank.gateway import request_reader
+from magnoliacrank.gateway import service_runtime
+from magnoliacrank.model import request
+from magnoliacrank.model import verdict
+from magnoliacrank.policy import crash_suspects
+from magnoliacrank.policy import retry_budget
+from magnoliacrank.policy import sample
+
+_Kind = exchange_failure.FailureKind
+_Reason = verdict.Reason
+_TRUNCATED = verdict.may_have_run(_Reason.ANSWER_TRUNCATED)
+
+
+class _Pool:
+    authority = "127.0.0.1:1"
+
+    def __init__(self, kind):
+        self._kind = kind
+
+    async def exchange(self, *arguments, **options):
+        return exchange_failure.ExchangeFailure(self._kind)
+
+
+class _Gate:
+    async def enter(self, wanted):
+        return object()
+
+    def leave(self, place, service_s):
+        pass
+
+
+class _Suspects:
+    def decide(self, fingerprint):
+        return crash_suspects.RunFreely()
+
+    def is_suspect(self, fingerprint):
+        return False
+
+    def begin(self, server_id, fingerprint):
+        pass
+
+    def end(self, server_id, fingerprint):
+        pass
+
+
+class _Runtime:
+    """Gives one reservation for each kind, then ends with a reason."""
+
+    gate = _Gate()
+    suspects = _Suspects()
+
+    def __init__(self, kinds, last):
+        self._kinds = list(kinds)
+        self._last = last
+        self.is_member = True
+        self.retries = retry_budget.RetryBudget()
+        self.retries.on_first_attempt(0.0)
+
+    def reserve(self, wanted, excluded, waited_s=0.0):
+        if not self._kinds:
+            self.is_member = self._last is not None
+            return sample.NoServer(self._last or _Reason.OVERLOADED)
+        kind = self._kinds.pop(0)
+        handle = sample.Dispatch(f"b{len(self._kinds)}", "r", 0.0, 0.1, 1.0)
+        return service_runtime.Reservation(_Pool(kind), None, handle, "1")
+
+    def on_answer(self, reservation, seen):
+        pass
+
+    def on_failure(self, reservation, kind):
+        pass
+
+    def on_abandoned(self, reservation, kind, until_s):
+        pass
+
+
+@pytest.mark.parametrize(
+    ("kinds", "last", "wanted"),
+    [
+        ([], _Reason.NO_SERVER, verdict.not_run(_Reason.NO_SERVER)),
+        ([], None, dispatcher.NOT_HERE),
+        (
+            [_Kind.REFUSED],
+            _Reason.NO_SERVER,
+            verdict.not_run(_Reason.NO_SERVER),
+        ),
+        ([_Kind.TRUNCATED], _Reason.NO_SERVER, _TRUNCATED),
+        ([_Kind.TRUNCATED, _Kind.REFUSED], _Reason.NO_SERVER, _TRUNCATED),
+        ([_Kind.TRUNCATED], None, _TRUNCATED),
+    ],
+)
+async def test_verdict_remembers_attempts_that_may_have_run(
+    kinds, last, wanted
+):
+    clock_s = 100.0
+    runtime = _Runtime(kinds, last)
+    typed = request.Request(
+        "c", "s", "r", request.RequestClass.IDEMPOTENT, clock_s + 1.0
+    )
+    exchange = types.SimpleNamespace(
+        method="GET",
+        target="/",
+        headers=multidict.CIMultiDictProxy(multidict.CIMultiDict()),
+    )
+    result = await dispatcher.Dispatcher(lambda: clock_s).dispatch(
+        exchange,
+        request_reader.RoutedRequest(typed, None, None, ""),
+        runtime,
+        b"",
+    )
+    assert result == wanted
