Count requests on the metrics page; drop flags that did nothing

Cause: found by reading: nothing called the request metrics, so the page was empty, and two flags for traces had no effect. Figures: the new test finds one counted read on one of three instances; none was counted before. Conclusion: /metrics tells verdicts by service and route.

--- a/bench/hop/product.py
+++ b/bench/hop/product.py
@@ -101,8 +101,6 @@
         ticket_mint_s=60.0,
         key_horizon_s=60.0,
         drain_timeout_s=1.0,
-        otlp_endpoint="",
-        trace_ratio=0.0,
         verbosity=-1,
     )
 
--- a/packages/cli/src/magnoliacrank/cli/argument_parser.py
+++ b/packages/cli/src/magnoliacrank/cli/argument_parser.py
@@ -79,19 +79,6 @@
     return convert
 
 
-def ratio(text: str) -> float:
-    """Converts a share from 0 to 1."""
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not 0.0 <= value <= 1.0:
-        raise argparse.ArgumentTypeError(
-            f"{text!r} is not allowed; expected a number from 0 to 1"
-        )
-    return value
-
-
 def ip_address(text: str) -> str:
     """Converts an IP number; names are not resolved."""
     try:
--- a/packages/cli/src/magnoliacrank/cli/demo_world.py
+++ b/packages/cli/src/magnoliacrank/cli/demo_world.py
@@ -233,8 +233,6 @@
             ticket_mint_s=60.0,
             key_horizon_s=60.0,
             drain_timeout_s=5.0,
-            otlp_endpoint="",
-            trace_ratio=0.0,
             verbosity=-1,
         )
         process = entry_process.EntryProcess(options)
--- a/packages/cli/src/magnoliacrank/cli/entry_parts.py
+++ b/packages/cli/src/magnoliacrank/cli/entry_parts.py
@@ -163,6 +163,7 @@
             transfers=transfers,
             crews=crew_forwarder.CrewForwarder(own, membership, forwards),
             peers=membership,
+            metrics=metrics,
         ),
         is_ready=lambda: status.is_ready,
         clock=clock,
--- a/packages/cli/src/magnoliacrank/cli/settings.py
+++ b/packages/cli/src/magnoliacrank/cli/settings.py
@@ -60,12 +60,6 @@
     drain_timeout_s: float
     """Longest time for requests in flight at a shutdown, in seconds."""
 
-    otlp_endpoint: str
-    """OTLP/HTTP endpoint for traces; empty switches them off."""
-
-    trace_ratio: float
-    """Share of new traces that are sampled, from 0 to 1."""
-
     verbosity: int
     """Verbosity of the log: -1 warnings, 0 information, 1 debugging."""
 
@@ -175,17 +169,6 @@
 
 
 def _add_observability(group: argparse._ArgumentGroup) -> None:
-    group.add_argument(
-        "--otlp-endpoint",
-        default="",
-        help="OTLP/HTTP endpoint for traces; empty switches them off",
-    )
-    group.add_argument(
-        "--trace-ratio",
-        type=argument_parser.ratio,
-        default=0.01,
-        help="share of new traces that are sampled, from 0 to 1",
-    )
     group.add_argument(
         "--verbosity",
         type=argument_parser.whole_number(-3, 2),
--- a/packages/cli/tests/test_entry_process.py
+++ b/packages/cli/tests/test_entry_process.py
@@ -134,3 +134,18 @@
     assert unseen.reason == verdict.Reason.OWNER_LOST.value
     assert unseen.outcome is verdict.Outcome.MAY_HAVE_RUN
     assert world.journal.runs_by_key() == {"k9": 1}
+
+
+async def test_metrics_count_requests_by_verdict(world):
+    one = _caller(world)
+    await one.start()
+    wanted = caller.Wanted("GET", "/stops/1", request.RequestClass.IDEMPOTENT)
+    await one.send(wanted)
+    await one.close()
+    pages = [process.parts.status.metrics([])[0] for process in world.processes]
+    counted = [
+        page for page in pages if b"magnoliacrank_requests_total{" in page
+    ]
+    assert len(counted) == 1
+    assert b'verdict="done"' in counted[0]
+    assert b'route="stops"' in counted[0]
--- a/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
+++ b/packages/gateway/src/magnoliacrank/gateway/request_carrier.py
@@ -16,6 +16,7 @@
 from magnoliacrank.gateway import key_transfer
 from magnoliacrank.gateway import peer_directory
 from magnoliacrank.gateway import refusal
+from magnoliacrank.gateway import request_metrics
 from magnoliacrank.gateway import request_reader
 from magnoliacrank.gateway import service_directory
 from magnoliacrank.model import headers
@@ -68,6 +69,9 @@
     peers: peer_directory.PeerDirectory
     """Live instances."""
 
+    metrics: request_metrics.RequestMetrics
+    """Counts requests by verdict."""
+
 
 class RequestCarrier:
     """Handles every request for a service.
@@ -109,6 +113,20 @@
         )
         if isinstance(routed, request_reader.InvalidRequest):
             return _unconsulted(exchange, routed.reason)
+        result = await self._carry_routed(exchange, routed)
+        self._parts.metrics.on_finished(
+            routed.request.service,
+            routed.request.route,
+            result or verdict.DONE,
+            self._clock() - exchange.received_s,
+        )
+        return result
+
+    async def _carry_routed(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        routed: request_reader.RoutedRequest,
+    ) -> verdict.Verdict | None:
         if not _is_once(routed) or self._is_delegated(exchange):
             return await self._carry_unkeyed(exchange, routed)
         if routed.route.key_mode is request.KeyMode.TICKETED:
