Say once what stood twice: crews, rests of answers, platform flags

Cause: found by reading the whole change. The link to the log looked a service up and set its crew as the directory already does; the relay read the rest of an answer as the answer itself can; the flags that name the log and the instance list stood in two commands each; one exit code had two names. Change: each calls the one piece; an unused property is gone. Behaviour and tests are as they were. Conclusion: less to keep in step. The start and close of single tasks in state and peers still stand several times.

--- a/packages/cli/src/magnoliacrank/cli/argument_parser.py
+++ b/packages/cli/src/magnoliacrank/cli/argument_parser.py
@@ -108,3 +108,29 @@
             "letters, digits, dots and dashes"
         )
     return text
+
+
+def add_log_address(parser: argparse._ActionsContainer) -> None:
+    """Adds the flags that name the platform's log service and its stream."""
+    parser.add_argument(
+        "--log-url",
+        type=http_url,
+        required=True,
+        help="base URL of the platform's log service",
+    )
+    parser.add_argument(
+        "--log-stream",
+        type=identifier,
+        default="magnoliacrank",
+        help="stream in the log service",
+    )
+
+
+def add_instances_address(parser: argparse._ActionsContainer) -> None:
+    """Adds the flag that names the platform's instance list."""
+    parser.add_argument(
+        "--instances-url",
+        type=http_url,
+        required=True,
+        help="base URL of the platform's instance list",
+    )
--- a/packages/cli/src/magnoliacrank/cli/log_session.py
+++ b/packages/cli/src/magnoliacrank/cli/log_session.py
@@ -22,18 +22,7 @@
 
 def add_log_arguments(parser: argument_parser.ArgumentParser) -> None:
     """Adds the arguments that name the log and the patience for it."""
-    parser.add_argument(
-        "--log-url",
-        type=argument_parser.http_url,
-        required=True,
-        help="base URL of the platform's log service",
-    )
-    parser.add_argument(
-        "--log-stream",
-        type=argument_parser.identifier,
-        default="magnoliacrank",
-        help="stream in the log service",
-    )
+    argument_parser.add_log_address(parser)
     parser.add_argument(
         "--timeout-s",
         type=argument_parser.seconds(0.1, _MAX_TIMEOUT_S),
--- a/packages/cli/src/magnoliacrank/cli/publish.py
+++ b/packages/cli/src/magnoliacrank/cli/publish.py
@@ -28,9 +28,6 @@
 EXIT_ACCEPTED = 0
 """Exit code: the lists are in force."""
 
-EXIT_INVALID = 1
-"""Exit code: a list holds an error; nothing was sent."""
-
 EXIT_CONFLICT = 3
 """Exit code: another edit came first; nothing changed."""
 
@@ -72,7 +69,7 @@
     lists = check.load_lists(arguments)
     if isinstance(lists, list_reader.InvalidLists):
         check.print_errors(lists, arguments.output)
-        return EXIT_INVALID
+        return check.EXIT_INVALID
     report = asyncio.run(_publish(arguments, lists))
     _print(report, arguments.output)
     return report.exit_code
--- a/packages/cli/src/magnoliacrank/cli/settings.py
+++ b/packages/cli/src/magnoliacrank/cli/settings.py
@@ -113,24 +113,8 @@
 
 
 def _add_platform(group: argparse._ArgumentGroup) -> None:
-    group.add_argument(
-        "--log-url",
-        type=argument_parser.http_url,
-        required=True,
-        help="base URL of the platform's log service",
-    )
-    group.add_argument(
-        "--log-stream",
-        type=argument_parser.identifier,
-        default="magnoliacrank",
-        help="stream in the log service",
-    )
-    group.add_argument(
-        "--instances-url",
-        type=argument_parser.http_url,
-        required=True,
-        help="base URL of the platform's instance list",
-    )
+    argument_parser.add_log_address(group)
+    argument_parser.add_instances_address(group)
     group.add_argument(
         "--list-period-s",
         type=argument_parser.seconds(0.05, _MAX_PERIOD_S),
--- a/packages/cli/src/magnoliacrank/cli/status.py
+++ b/packages/cli/src/magnoliacrank/cli/status.py
@@ -29,12 +29,7 @@
 
 def add_arguments(parser: argument_parser.ArgumentParser) -> None:
     """Adds the flags of `status`."""
-    parser.add_argument(
-        "--instances-url",
-        type=argument_parser.http_url,
-        required=True,
-        help="base URL of the platform's instance list",
-    )
+    argument_parser.add_instances_address(parser)
     parser.add_argument(
         "--timeout-s",
         type=argument_parser.seconds(0.1, _MAX_TIMEOUT_S),
--- a/packages/gateway/src/magnoliacrank/gateway/answer_relay.py
+++ b/packages/gateway/src/magnoliacrank/gateway/answer_relay.py
@@ -66,9 +66,10 @@
     if isinstance(content, exchange_failure.ExchangeFailure):
         return content
     if not received.is_whole:
-        rest = await _read_rest(received)
+        rest = await received.read_all(_HELD_BYTES)
         if isinstance(rest, exchange_failure.ExchangeFailure):
             return rest
+        assert rest is not None, "its stated length is within the limit"
         content += rest
     # The stated length of an answer to HEAD is not that of its body.
     length = len(content) or received.length or 0
@@ -86,19 +87,6 @@
     )
 
 
-async def _read_rest(
-    received: answers.Answer,
-) -> bytes | exchange_failure.ExchangeFailure:
-    chunks: list[bytes] = []
-    while True:
-        chunk = await received.read_chunk()
-        if isinstance(chunk, exchange_failure.ExchangeFailure):
-            return chunk
-        if not chunk:
-            return b"".join(chunks)
-        chunks.append(chunk)
-
-
 async def _relay_stream(
     exchange: inbound_exchange.InboundExchange,
     received: answers.Answer,
--- a/packages/gateway/src/magnoliacrank/gateway/service_directory.py
+++ b/packages/gateway/src/magnoliacrank/gateway/service_directory.py
@@ -80,11 +80,6 @@
         """All runtimes."""
         return self._services.values()
 
-    @property
-    def servers(self) -> Sequence[server.BackendServer]:
-        """Backend servers as listed by the platform."""
-        return self._servers
-
     def find(
         self, name: ids.ServiceName
     ) -> service_runtime.ServiceRuntime | None:
--- a/packages/gateway/src/magnoliacrank/gateway/state_link.py
+++ b/packages/gateway/src/magnoliacrank/gateway/state_link.py
@@ -13,7 +13,6 @@
     from collections.abc import Mapping
 
     from magnoliacrank.gateway import service_directory
-    from magnoliacrank.model import crew
     from magnoliacrank.state import log_follower
 
 
@@ -54,14 +53,8 @@
         logging.info("config: Version %d is in force.", message.version)
         self._services.set_configuration(message.configuration)
         for record in self._follower.state.crews.values():
-            self._set_crew(record)
+            self._services.set_crew(record)
 
     def _on_crew(self, message: messages.StateMessage) -> None:
         assert isinstance(message, messages.CrewChanged)
-        self._set_crew(message.crew)
-
-    def _set_crew(self, record: crew.Crew) -> None:
-        runtime = self._services.find(record.service)
-        if runtime is None:
-            return
-        runtime.set_crew(record)
+        self._services.set_crew(message.crew)
