--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := model policy platform state peers gateway standins cli
+PACKAGES := model policy platform state peers gateway entry standins cli
 MODULES := $(addprefix magnoliacrank.,$(PACKAGES))
 SOURCES := packages $(wildcard bench tools)
 
--- a/packages/cli/src/magnoliacrank/cli/main.py
+++ b/packages/cli/src/magnoliacrank/cli/main.py
@@ -38,6 +38,9 @@
 
 _COMMANDS = (
     _CommandEntry("serve", "serve", "run an entry instance"),
+    _CommandEntry(
+        "instance", "instance", "run an entry instance on the users' platform"
+    ),
     _CommandEntry("check", "check", "validate the two lists offline"),
     _CommandEntry("publish", "publish", "put the two lists into force"),
     _CommandEntry("watch", "watch", "print notices as they come"),
@@ -46,8 +49,13 @@
 )
 
 
-def build_parser() -> argument_parser.ArgumentParser:
-    """Returns the parser of the whole program."""
+def build_parser(only: str | None = None) -> argument_parser.ArgumentParser:
+    """Returns the parser of the program.
+
+    Args:
+        only: Name of the one command that is needed; its module alone is
+            imported, which saves an instance memory and start-up time.
+    """
     parser = argument_parser.ArgumentParser(
         prog="magnoliacrank",
         description="Load balancer for servers whose load shifts in "
@@ -58,6 +66,8 @@
         dest="command", required=True, metavar="COMMAND"
     )
     for entry in _COMMANDS:
+        if only not in (None, entry.name):
+            continue
         command = commands.add_parser(
             entry.name, help=entry.summary, description=entry.summary
         )
@@ -72,10 +82,17 @@
     Args:
         argv: Arguments without the program's name; None takes the process's.
     """
-    arguments = build_parser().parse_args(argv)
+    words = sys.argv[1:] if argv is None else argv
+    names = {entry.name for entry in _COMMANDS}
+    only = words[0] if words and words[0] in names else None
+    arguments = build_parser(only).parse_args(argv)
     sys.exit(_load(arguments.entry).run(arguments))
 
 
 def _load(entry: _CommandEntry) -> Command:
     module = importlib.import_module(f"magnoliacrank.cli.{entry.module}")
     return cast("Command", module)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/__init__.py
@@ -0,0 +1,1 @@
+"""An entry instance on the users' platform."""
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/backend_link.py
@@ -0,0 +1,236 @@
+"""BackendLink: connections to one HTTP server, and what was seen of it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import hdrs
+import attrs
+
+from magnoliacrank.gateway import answer as answers
+from magnoliacrank.gateway import exchange_failure
+from magnoliacrank.gateway import outbound_head
+from magnoliacrank.gateway import server_connection
+from magnoliacrank.gateway import socket_options
+from magnoliacrank.platform import request_wire
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from multidict import CIMultiDictProxy
+
+FailureKind = exchange_failure.FailureKind
+ExchangeFailure = exchange_failure.ExchangeFailure
+
+_CONNECT_TIMEOUT_S = 0.35
+"""Longest time to open a connection; a lost packet is sent anew after it."""
+
+_MAX_IDLE = 6
+"""Idle connections that are kept."""
+
+_DEFAULT_IDLE_S = 4.0
+"""Idle time after which a connection is not used again."""
+
+_IDLE_MARGIN_S = 1.0
+"""Time by which the idle timeout that a server states is undercut."""
+
+_MAX_ANSWER_BYTES = 64 << 20
+"""Largest answer that is read."""
+
+
+@attrs.frozen
+class WholeAnswer:
+    """An answer that arrived whole."""
+
+    status: int
+    """HTTP status."""
+
+    headers: CIMultiDictProxy[str]
+    """Headers as received."""
+
+    content: bytes
+    """The body."""
+
+
+@attrs.frozen
+class Sendable:
+    """A request that is ready to be sent."""
+
+    head: outbound_head.OutboundHead
+    """Method, target and headers."""
+
+    body: bytes
+    """The whole body."""
+
+    request_id: str | None
+    """Identity that the answer has to bear; None for none."""
+
+
+class BackendLink:
+    """Connections to one server; each carries one request at a time.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+        on_opened: Called with each new connection.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        on_opened: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._on_opened = on_opened
+        self._idle: list[server_connection.ServerConnection] = []
+        self._busy: set[server_connection.ServerConnection] = set()
+        self._idle_s = _DEFAULT_IDLE_S
+        self._is_closed = False
+
+    @property
+    def authority(self) -> str:
+        """Host and port as in a Host header."""
+        return f"{self._host}:{self._port}"
+
+    @property
+    def busy_count(self) -> int:
+        """Connections with a request under way."""
+        return len(self._busy)
+
+    def close_idle(self) -> None:
+        """Closes the idle connections, and others once they become idle."""
+        self._is_closed = True
+        for connection in list(self._idle):
+            connection.retire(FailureKind.CONNECTION_LOST)
+
+    def close(self) -> None:
+        """Closes all connections; requests under way fail."""
+        self.close_idle()
+        for connection in list(self._busy):
+            connection.retire(FailureKind.CONNECTION_LOST)
+
+    async def exchange(
+        self,
+        request: Sendable,
+        timeout_s: float,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> WholeAnswer | ExchangeFailure:
+        """Sends a request and reads its whole answer.
+
+        A cancelled exchange closes its connection, which ends the work.
+
+        Args:
+            request: The request.
+            timeout_s: Longest time until the answer is whole.
+            on_sent: Called when the request may have left.
+
+        Returns:
+            The answer or why there is none.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        connection = self._take_idle()
+        if connection is None:
+            opened = await self._open(min(timeout_s, _CONNECT_TIMEOUT_S))
+            if isinstance(opened, ExchangeFailure):
+                return opened
+            connection = opened
+        try:
+            async with asyncio.timeout(deadline_s - time.monotonic()):
+                on_sent()
+                return await self._run(connection, request, deadline_s)
+        except TimeoutError:
+            connection.retire(FailureKind.TIMEOUT)
+            return ExchangeFailure(FailureKind.TIMEOUT)
+        except asyncio.CancelledError:
+            connection.retire(FailureKind.CONNECTION_LOST)
+            raise
+
+    def on_retired(
+        self, connection: server_connection.ServerConnection
+    ) -> None:
+        """A connection is never used again."""
+        self._busy.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def on_idle(self, connection: server_connection.ServerConnection) -> None:
+        """A connection can carry another request."""
+        self._busy.discard(connection)
+        self._idle.append(connection)
+        if self._is_closed or len(self._idle) > _MAX_IDLE:
+            self._idle[0].retire(FailureKind.CONNECTION_LOST)
+
+    def on_sent(self, connection: server_connection.ServerConnection) -> None:
+        """A connection carries a request."""
+
+    async def _run(
+        self,
+        connection: server_connection.ServerConnection,
+        request: Sendable,
+        deadline_s: float,
+    ) -> WholeAnswer | ExchangeFailure:
+        expected = request.request_id
+
+        def is_own(headers: CIMultiDictProxy[str]) -> bool:
+            return headers.get(request_wire.REQUEST_ID, expected) == expected
+
+        head = await connection.send(
+            request.head.encode(len(request.body)) + request.body,
+            is_head_request=request.head.method == hdrs.METH_HEAD,
+            deadline_s=deadline_s,
+            is_own=is_own,
+        )
+        if isinstance(head, ExchangeFailure):
+            return head
+        answer = answers.Answer(connection, head)
+        content = await answer.read_all(_MAX_ANSWER_BYTES)
+        if isinstance(content, ExchangeFailure):
+            return content
+        if content is None:
+            connection.retire(FailureKind.TRUNCATED)
+            return ExchangeFailure(FailureKind.TRUNCATED)
+        stated_s = request_wire.read_keep_alive_s(answer.headers)
+        if stated_s is not None:
+            self._idle_s = max(stated_s - _IDLE_MARGIN_S, 0.0)
+        answer.release()
+        return WholeAnswer(answer.status, answer.headers, content)
+
+    def _take_idle(self) -> server_connection.ServerConnection | None:
+        now_s = time.monotonic()
+        while self._idle:
+            connection = self._idle[-1]
+            if not connection.is_usable or (
+                now_s - connection.alive_s > self._idle_s
+            ):
+                connection.retire(FailureKind.CONNECTION_LOST)
+                continue
+            self._idle.pop()
+            self._busy.add(connection)
+            return connection
+        return None
+
+    async def _open(
+        self, timeout_s: float
+    ) -> server_connection.ServerConnection | ExchangeFailure:
+        loop = asyncio.get_running_loop()
+        self._on_opened()
+        try:
+            async with asyncio.timeout(timeout_s):
+                transport, connection = await loop.create_connection(
+                    lambda: server_connection.ServerConnection(
+                        self, loop, allows_close=True
+                    ),
+                    self._host,
+                    self._port,
+                )
+        except TimeoutError:
+            return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
+        except OSError:
+            return ExchangeFailure(FailureKind.CONNECT_FAILED)
+        socket_options.notice_lost_peer(transport)
+        self._busy.add(connection)
+        return connection
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -0,0 +1,270 @@
+"""EntryHandler: answers callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import hdrs
+import attrs
+import msgspec
+import xxhash
+
+from magnoliacrank.entry import request_carrier
+from magnoliacrank.gateway import body as bodies
+from magnoliacrank.gateway import framing
+from magnoliacrank.platform import request_wire
+
+if TYPE_CHECKING:
+    from magnoliacrank.entry import entry_state
+    from magnoliacrank.entry import site_reader
+    from magnoliacrank.entry import site_view
+    from magnoliacrank.gateway import inbound_exchange
+    from magnoliacrank.model import route_plan
+
+Verdict = request_carrier.Verdict
+
+_BODY_MEMORY_BYTES = 96 << 20
+"""Bytes of bodies that are held at once; a third of an instance's memory."""
+
+_NO_PLAN_RETRY_S = 0.5
+"""What callers are told while no configuration is known."""
+
+_CRASH_RETRY_S = 5.0
+"""What the caller is told whose request crashes servers."""
+
+_SHORTEST_S = 0.001
+"""Least time with which a request is worth passing on."""
+
+_TO_SERVER = framing.HeaderFilter(request_wire.DEADLINE, request_wire.TARGET)
+
+
+@attrs.frozen
+class _Refusal:
+    """An answer of this instance in place of a server's."""
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+class EntryHandler:
+    """Reads a request, has it carried, and answers its caller.
+
+    Args:
+        state: Parts that requests share.
+        view: Configuration and servers.
+        reader: Keeps the view up to date.
+    """
+
+    def __init__(
+        self,
+        state: entry_state.EntryState,
+        view: site_view.SiteView,
+        reader: site_reader.SiteReader,
+    ) -> None:
+        self._state = state
+        self._view = view
+        self._reader = reader
+        self._held_bytes = 0
+
+    async def on_request(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        """Answers one request."""
+        arrived_s = self._state.clock()
+        await self._reader.refresh_for_request()
+        rule = await self._find_route(exchange)
+        if isinstance(rule, _Refusal):
+            await self._refuse(exchange, rule, None, arrived_s)
+            return
+        size = exchange.body_length or 0
+        if self._held_bytes + size > _BODY_MEMORY_BYTES:
+            refusal = _Refusal(503, "body-memory", _NO_PLAN_RETRY_S)
+            await self._refuse(exchange, refusal, rule, arrived_s)
+            return
+        self._held_bytes += size
+        try:
+            await self._serve(exchange, rule, arrived_s)
+        finally:
+            self._held_bytes -= size
+
+    async def _find_route(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> route_plan.RouteRule | _Refusal:
+        host = exchange.headers.get(hdrs.HOST, "").partition(":")[0].lower()
+        rule = self._look_up(host, exchange.path)
+        if rule is None:
+            # The route may have been added a moment ago.
+            await self._reader.refresh()
+            rule = self._look_up(host, exchange.path)
+        if rule is not None:
+            return rule
+        if self._view.plan is None:
+            return _Refusal(503, "no-configuration", _NO_PLAN_RETRY_S)
+        return _Refusal(404, "no-route")
+
+    def _look_up(self, host: str, path: str) -> route_plan.RouteRule | None:
+        plan = self._view.plan
+        return None if plan is None else plan.find_route(host, path)
+
+    async def _serve(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        rule: route_plan.RouteRule,
+        arrived_s: float,
+    ) -> None:
+        plan = self._view.plan
+        assert plan is not None, "a route was found"
+        body = await exchange.read_body(plan.limits.max_body_bytes)
+        refusal = _check_body(body)
+        if refusal is not None:
+            await self._refuse(exchange, refusal, rule, arrived_s)
+            return
+        assert isinstance(body, bytes)
+        job = self._prepare(exchange, rule, body, arrived_s)
+        now_s = self._state.clock()
+        if job.deadline_s - now_s < _SHORTEST_S:
+            refusal = _Refusal(503, "deadline-passed", 0.0)
+        elif self._state.crashes.is_blocked(job.fingerprint, now_s):
+            refusal = _Refusal(503, "crashes-servers", _CRASH_RETRY_S)
+        if refusal is not None:
+            await self._refuse(exchange, refusal, rule, arrived_s)
+            return
+        carrier = request_carrier.RequestCarrier(self._state, job)
+        result = await self._carry(exchange, carrier, job)
+        if result is not None:
+            await self._answer(exchange, job, result)
+
+    def _prepare(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        rule: route_plan.RouteRule,
+        body: bytes,
+        arrived_s: float,
+    ) -> request_carrier.Job:
+        headers = exchange.headers
+        patience_s = request_wire.read_deadline_s(headers)
+        if patience_s is None or patience_s > rule.timeout_s:
+            patience_s = rule.timeout_s
+        digest = xxhash.xxh64(f"{exchange.method} {exchange.target}\n".encode())
+        digest.update(body)
+        return request_carrier.Job(
+            request_id=headers.get(request_wire.REQUEST_ID, ""),
+            rule=rule,
+            service=self._state.choose_service(rule),
+            method=exchange.method,
+            target=exchange.target,
+            headers=tuple(_TO_SERVER.apply(headers)),
+            body=body,
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + patience_s,
+            fingerprint=digest.hexdigest(),
+        )
+
+    async def _carry(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        carrier: request_carrier.RequestCarrier,
+        job: request_carrier.Job,
+    ) -> request_carrier.Result | None:
+        """Carries a request; None if its caller left before the end.
+
+        A request that may run only once and was sent goes on without its
+        caller: its work is worth more done than broken off.
+        """
+        work = asyncio.get_running_loop().create_task(carrier.carry())
+        try:
+            await asyncio.wait(
+                (work, exchange.caller_gone),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not work.done() and not (
+                carrier.has_been_sent and not job.is_idempotent
+            ):
+                work.cancel()
+            result = await work
+        except asyncio.CancelledError:
+            if not exchange.is_caller_gone:
+                raise
+            self._state.log.request("caller left", job.request_id)
+            self._state.metrics.on_request(job.rule.name, "caller-left", 0.0)
+            return None
+        return result
+
+    async def _answer(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        job: request_carrier.Job,
+        result: request_carrier.Result,
+    ) -> None:
+        answer = result.answer
+        if answer is None:
+            refusal = _to_refusal(result, job, self._state.clock())
+            await self._refuse(exchange, refusal, job.rule, job.arrived_s)
+            return
+        duration_s = self._state.clock() - job.arrived_s
+        outcome = result.verdict.value
+        self._state.metrics.on_request(job.rule.name, outcome, duration_s)
+        if result.verdict is Verdict.ANSWERED:
+            self._state.log.success(
+                job.request_id,
+                route=job.rule.name,
+                status=answer.status,
+                duration_s=round(duration_s, 4),
+            )
+        length = len(answer.content)
+        if exchange.method == hdrs.METH_HEAD:
+            length = int(answer.headers.get(hdrs.CONTENT_LENGTH, "0"))
+        fields = framing.end_to_end(answer.headers)
+        exchange.start_answer(answer.status, fields, length)
+        await exchange.write(answer.content)
+        await exchange.finish()
+
+    async def _refuse(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        refusal: _Refusal,
+        rule: route_plan.RouteRule | None,
+        arrived_s: float,
+    ) -> None:
+        state = self._state
+        duration_s = state.clock() - arrived_s
+        route = "" if rule is None else rule.name
+        state.metrics.on_refusal(refusal.reason)
+        state.metrics.on_request(route, str(refusal.status), duration_s)
+        state.log.request(
+            "request refused",
+            exchange.headers.get(request_wire.REQUEST_ID, ""),
+            route=route,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after_s=refusal.retry_after_s,
+            duration_s=round(duration_s, 4),
+        )
+        fields = [("Content-Type", "application/json")]
+        if refusal.retry_after_s is not None:
+            value = f"{refusal.retry_after_s:.3f}"
+            fields.append((request_wire.RETRY_AFTER, value))
+        content = msgspec.json.encode({"reason": refusal.reason})
+        await exchange.answer(refusal.status, fields, content)
+
+
+def _check_body(
+    body: bytes | bodies.BodyTooLarge | bodies.BodyFailure,
+) -> _Refusal | None:
+    if isinstance(body, bodies.BodyTooLarge):
+        return _Refusal(413, "body-too-large")
+    if isinstance(body, bodies.BodyFailure):
+        return _Refusal(body.status, body.kind.value)
+    return None
+
+
+def _to_refusal(
+    result: request_carrier.Result, job: request_carrier.Job, now_s: float
+) -> _Refusal:
+    if result.verdict is Verdict.NOT_RUN:
+        return _Refusal(503, result.reason, result.retry_after_s)
+    # The request may have run: no status that promises the contrary.
+    status = 504 if now_s >= job.deadline_s else 502
+    return _Refusal(status, result.reason)
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -0,0 +1,300 @@
+"""EntryInstance: all parts of one instance, in start and stop order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING
+
+from magnoliacrank.entry import announcer
+from magnoliacrank.entry import backend_table
+from magnoliacrank.entry import clocks
+from magnoliacrank.entry import entry_handler
+from magnoliacrank.entry import entry_metrics
+from magnoliacrank.entry import entry_state
+from magnoliacrank.entry import event_log
+from magnoliacrank.entry import peer_beat
+from magnoliacrank.entry import peer_fetcher
+from magnoliacrank.entry import peer_link
+from magnoliacrank.entry import placer
+from magnoliacrank.entry import service_handlers
+from magnoliacrank.entry import site_reader
+from magnoliacrank.entry import site_view
+from magnoliacrank.entry import trial_keeper
+from magnoliacrank.gateway import front_limits
+from magnoliacrank.gateway import front_server
+from magnoliacrank.platform import store_client
+from magnoliacrank.policy import crew_roster
+
+if TYPE_CHECKING:
+    from magnoliacrank.model import orders
+    from magnoliacrank.model import route_plan
+    from magnoliacrank.platform import settings_file
+
+_DIRECTORY_TTL_S = 2.0
+"""Time for which callers keep addresses; they follow a change within it."""
+
+_LINGER_S = 2.4
+"""Time from SIGTERM until open connections are closed between requests;
+longer than callers keep addresses."""
+
+_EXIT_MARGIN_S = 0.6
+"""Time kept between the end of serving and the kill."""
+
+_PROBE_SHARE = 0.8
+"""Part of the operators' bound on health requests that is used."""
+
+
+class EntryInstance:
+    """One entry instance.
+
+    Args:
+        settings: What the platform laid for it.
+    """
+
+    def __init__(self, settings: settings_file.InstanceSettings) -> None:
+        clock = clocks.boot_time_s
+        bounds = settings.bounds
+        spread = random.Random()
+        self._settings = settings
+        self._clock = clock
+        self._incarnation = time.time_ns() // 1_000_000
+        self._is_leaving = False
+        self.log = event_log.EventLog(
+            settings.node, settings.data_centre, clock
+        )
+        self._metrics = entry_metrics.EntryMetrics()
+        self._roster = crew_roster.CrewRoster(self._own_fact(is_ready=False))
+        self._store = store_client.StoreClient(*settings.store)
+        self._view = site_view.SiteView(self.log, clock)
+        self._peers = peer_fetcher.PeerFetcher(settings.peer_port, self.log)
+        self._reader = site_reader.SiteReader(
+            self._view, self._store, self._peers, self._roster, self.log, clock
+        )
+        self._trials = trial_keeper.TrialKeeper(
+            self._view, self._store, self._roster, bounds, self.log, clock
+        )
+        crew = crew_roster.DEFAULT_CREW_SIZE
+        self._table = backend_table.BackendTable(
+            self.log, clock, bounds.probes_per_s * _PROBE_SHARE / crew
+        )
+        self._placer = placer.Placer(
+            self._view,
+            self._table,
+            self._roster,
+            settings.data_centre,
+            self.log,
+            clock,
+            spread,
+        )
+        self._state = entry_state.EntryState(
+            clock,
+            self.log,
+            self._metrics,
+            self._roster,
+            self._placer,
+            self._trials,
+            bounds,
+            spread,
+        )
+        self._link = peer_link.PeerLink(
+            settings.ip, settings.peer_port, self._roster, self, self.log, clock
+        )
+        self._announcer = announcer.Announcer(
+            settings, self._store, self._roster, self.log, clock
+        )
+        limits = front_limits.FrontLimits()
+        self._front = front_server.FrontServer(
+            entry_handler.EntryHandler(self._state, self._view, self._reader),
+            limits,
+        )
+        self._servers = self._side_servers(limits)
+        self._view.add_listener(self)
+        self._reader.set_news_handler(self._link.beat_now)
+        self._trials.set_urgent_handler(self._link.beat_now)
+        self._watch_figures()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it can serve callers."""
+        return (
+            not self._is_leaving
+            and self._view.plan is not None
+            and self._view.has_backends
+        )
+
+    async def start(self) -> None:
+        """Listens, then begins to read, to announce and to beat.
+
+        Raises:
+            OSError: An address can't be bound.
+        """
+        self.log.start()
+        await self._store.start()
+        for server, (host, port) in self._servers:
+            await server.start(host, port)
+        await self._front.start(*self._settings.front)
+        await self._link.start()
+        self.log.event(
+            "instance started",
+            address=":".join(map(str, self._settings.front)),
+        )
+        await self._trials.load_states()
+        await self._reader.start()
+        await self._announcer.start()
+        await self._trials.start()
+
+    async def leave(self) -> None:
+        """Leaves the directory and goes on serving until callers know."""
+        self._is_leaving = True
+        self._roster.set_own(self._own_fact(is_ready=False))
+        self._link.beat_now()
+        self._front.start_draining()
+        self.log.event("instance leaving")
+        await asyncio.sleep(_LINGER_S)
+
+    async def close(self) -> None:
+        """Ends the requests in flight, then closes all parts."""
+        grace_s = self._settings.bounds.grace_s - _LINGER_S - _EXIT_MARGIN_S
+        await self._front.close(max(grace_s, 0.0))
+        for server, _ in self._servers:
+            await server.close(0.0)
+        await self._announcer.close()
+        await self._trials.close()
+        await self._reader.close()
+        await self._link.close()
+        await self._peers.close()
+        self._table.close()
+        await self._store.close()
+        self.log.event("instance stopped")
+        self.log.close()
+
+    def next_beat(self) -> peer_beat.PeerBeat:
+        """Returns the heartbeat to send now."""
+        now_s = self._clock()
+        fact = self._own_fact(is_ready=self.is_ready)
+        self._roster.set_own(fact)
+        view = self._view
+        return peer_beat.PeerBeat(
+            format=peer_beat.FORMAT,
+            node=fact.node,
+            data_centre=fact.data_centre,
+            ip=fact.ip,
+            incarnation=fact.incarnation,
+            is_ready=fact.is_ready,
+            is_leaving=fact.is_leaving,
+            beats_often=fact.beats_often,
+            operators_mark=view.operators.mark,
+            servers_mark=view.servers.mark,
+            verified_age_ms=service_handlers.verified_age_ms(
+                self._reader, now_s
+            ),
+            trials=self._trials.reports(),
+            crashes=self._state.crashes.recent(now_s),
+        )
+
+    def on_beat(self, beat: peer_beat.PeerBeat) -> None:
+        """Takes in a heartbeat of another instance."""
+        now_s = self._clock()
+        self._roster.hear(
+            crew_roster.PeerFact(
+                node=beat.node,
+                data_centre=beat.data_centre,
+                ip=beat.ip,
+                incarnation=beat.incarnation,
+                is_ready=beat.is_ready,
+                is_leaving=beat.is_leaving,
+                beats_often=beat.beats_often,
+            ),
+            now_s,
+        )
+        self._reader.on_beat(beat)
+        self._trials.on_beat(beat)
+        self._state.crashes.merge(beat.node, beat.crashes, now_s)
+
+    def on_plan(self, plan: route_plan.RoutePlan) -> None:
+        """A new configuration is in force."""
+        limits = plan.limits
+        self._front.set_limits(
+            front_limits.FrontLimits(
+                max_head_bytes=limits.max_header_bytes,
+                max_line_bytes=limits.max_header_bytes,
+                max_field_bytes=limits.max_header_bytes,
+                head_timeout_s=limits.header_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+            )
+        )
+
+    def on_rollout(self, order: orders.RolloutOrder, offset: int) -> None:
+        """Operators ordered a roll-out."""
+        self._trials.on_rollout(order, offset)
+
+    def on_backend_gone(self, server_id: str) -> None:
+        """A backend server is gone."""
+        self._table.forget(server_id)
+
+    def _own_fact(self, *, is_ready: bool) -> crew_roster.PeerFact:
+        settings = self._settings
+        beats_often = False
+        if is_ready:
+            now_s = self._clock()
+            beats_often = (
+                self._roster.is_crew(now_s)
+                or self._roster.duty_order(now_s) == 0
+            )
+        return crew_roster.PeerFact(
+            node=settings.node,
+            data_centre=settings.data_centre,
+            ip=settings.ip,
+            incarnation=self._incarnation,
+            is_ready=is_ready,
+            is_leaving=self._is_leaving,
+            beats_often=beats_often,
+        )
+
+    def _side_servers(
+        self, limits: front_limits.FrontLimits
+    ) -> list[tuple[front_server.FrontServer, tuple[str, int]]]:
+        settings = self._settings
+        ready = service_handlers.ReadyHandler(lambda: self.is_ready)
+        peers = service_handlers.PeerHandler(
+            self._view, self._reader, self._metrics, self._clock
+        )
+        servers = [
+            (front_server.FrontServer(ready, limits), settings.ready),
+            (
+                front_server.FrontServer(peers, limits),
+                (settings.ip, settings.peer_port),
+            ),
+        ]
+        if settings.directory is not None:
+            directory = service_handlers.DirectoryHandler(
+                self._roster,
+                settings.front[1],
+                min(_DIRECTORY_TTL_S, settings.bounds.directory_ttl_s),
+                self._clock,
+            )
+            servers.append(
+                (
+                    front_server.FrontServer(directory, limits),
+                    settings.directory,
+                )
+            )
+        return servers
+
+    def _watch_figures(self) -> None:
+        metrics = self._metrics
+        metrics.watch("store_calls", lambda: self._store.calls)
+        metrics.watch("probes_sent", lambda: self._table.probes_sent)
+        metrics.watch(
+            "connections_opened", lambda: self._table.connections_opened
+        )
+        metrics.watch("log_lines_dropped", lambda: self.log.dropped)
+        metrics.watch(
+            "view_age_s",
+            lambda: (
+                service_handlers.verified_age_ms(self._reader, self._clock())
+                / 1000
+            ),
+        )
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/entry_metrics.py
@@ -0,0 +1,79 @@
+"""EntryMetrics: counters and latencies of one instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import collectors
+from aioprometheus.formats import text
+from hdrh import histogram
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_LOWEST_US = 1
+_HIGHEST_US = 60_000_000
+_DIGITS = 2
+_QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class EntryMetrics:
+    """Counts requests, attempts and calls; renders them as text."""
+
+    def __init__(self) -> None:
+        self._registry = collectors.Registry()
+        self._requests = self._counter(
+            "magnoliacrank_requests_total", "Requests by route and outcome."
+        )
+        self._dispatches = self._counter(
+            "magnoliacrank_refusals_total", "Own refusals by reason."
+        )
+        self._gauges = self._gauge(
+            "magnoliacrank_state", "Ages in seconds and counts by name."
+        )
+        self._latency = self._gauge(
+            "magnoliacrank_latency_seconds", "Latency by quantile."
+        )
+        self._histogram = histogram.HdrHistogram(
+            _LOWEST_US, _HIGHEST_US, _DIGITS
+        )
+        self._sources: dict[str, Callable[[], float]] = {}
+
+    def watch(self, name: str, source: Callable[[], float]) -> None:
+        """Adds a figure that is read when metrics are rendered.
+
+        Args:
+            name: Name of the figure.
+            source: Returns it.
+        """
+        self._sources[name] = source
+
+    def on_request(self, route: str, outcome: str, duration_s: float) -> None:
+        """Counts a request.
+
+        Args:
+            route: Name of its route.
+            outcome: How it ended.
+            duration_s: How long it took, in seconds.
+        """
+        self._requests.inc({"route": route, "outcome": outcome})
+        self._histogram.record_value(max(int(duration_s * 1e6), _LOWEST_US))
+
+    def on_refusal(self, reason: str) -> None:
+        """Counts a request that this instance refused."""
+        self._dispatches.inc({"reason": reason})
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        for name, source in self._sources.items():
+            self._gauges.set({"name": name}, source())
+        for quantile in _QUANTILES:
+            value_us = self._histogram.get_value_at_percentile(quantile)
+            self._latency.set({"quantile": f"{quantile:g}"}, value_us / 1e6)
+        return bytes(text.TextFormatter().marshall(self._registry))
+
+    def _counter(self, name: str, doc: str) -> collectors.Counter:
+        return collectors.Counter(name, doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> collectors.Gauge:
+        return collectors.Gauge(name, doc, registry=self._registry)
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -0,0 +1,106 @@
+"""EntryState: what the requests of one instance share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliacrank.policy import crash_register
+from magnoliacrank.policy import repeat_allowance
+from magnoliacrank.policy import split_cursor
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from magnoliacrank.entry import entry_metrics
+    from magnoliacrank.entry import event_log
+    from magnoliacrank.entry import placer as placers
+    from magnoliacrank.entry import trial_keeper
+    from magnoliacrank.model import route_plan
+    from magnoliacrank.platform import settings_file
+    from magnoliacrank.policy import crew_roster
+
+_FIRST_WORK_SHARE = 0.4
+"""Expected work as a share of the latency objective before any answer."""
+
+_SMOOTHING = 0.1
+"""Weight of the newest answer in the expected work."""
+
+
+class EntryState:
+    """Parts that requests share, and what is learned from them.
+
+    Args:
+        clock: Seconds.
+        log: Where decisions are logged.
+        metrics: Counters.
+        roster: Living instances.
+        placer: Finds servers.
+        trials: Roll-outs under way.
+        bounds: Operators' bounds.
+        spread: Randomness.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        log: event_log.EventLog,
+        metrics: entry_metrics.EntryMetrics,
+        roster: crew_roster.CrewRoster,
+        placer: placers.Placer,
+        trials: trial_keeper.TrialKeeper,
+        bounds: settings_file.SafetyBounds,
+        spread: random.Random,
+    ) -> None:
+        self.clock = clock
+        self.log = log
+        self.metrics = metrics
+        self.roster = roster
+        self.placer = placer
+        self.trials = trials
+        self.crashes = crash_register.CrashRegister()
+        self._bounds = bounds
+        self._spread = spread
+        self._started_s = clock()
+        self._allowances: dict[str, repeat_allowance.RepeatAllowance] = {}
+        self._work_s: dict[str, float] = {}
+        self._cursors: dict[str, split_cursor.SplitCursor] = {}
+
+    def repeat_allowance(
+        self, service: str
+    ) -> repeat_allowance.RepeatAllowance:
+        """Returns the repeats that a service may get from this instance."""
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            bounds = self._bounds
+            allowance = repeat_allowance.RepeatAllowance(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+                self._started_s,
+            )
+            self._allowances[service] = allowance
+        return allowance
+
+    def work_s(self, rule: route_plan.RouteRule) -> float:
+        """Returns the expected work of a route at usual speed, in seconds."""
+        return self._work_s.get(
+            rule.name, rule.target_latency_s * _FIRST_WORK_SHARE
+        )
+
+    def on_work(self, rule: route_plan.RouteRule, duration_s: float) -> None:
+        """Counts how long a request of a route took at usual speed."""
+        known_s = self.work_s(rule)
+        self._work_s[rule.name] = known_s + _SMOOTHING * (duration_s - known_s)
+
+    def choose_service(self, rule: route_plan.RouteRule) -> str:
+        """Returns the service that runs the next request of a route."""
+        if len(rule.shares) == 1:
+            return rule.shares[0].service
+        cursor = self._cursors.get(rule.name)
+        if cursor is None or cursor.shares != rule.shares:
+            cursor = split_cursor.SplitCursor(
+                rule.shares, self._spread.random()
+            )
+            self._cursors[rule.name] = cursor
+        return cursor.next_service()
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -0,0 +1,382 @@
+"""Placer: finds the backend server for a request, just in time."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from magnoliacrank.entry import owned_task
+from magnoliacrank.entry import wait_line
+from magnoliacrank.policy import drain_estimate
+from magnoliacrank.policy import placement
+from magnoliacrank.policy import rate_bucket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from magnoliacrank.entry import backend_table
+    from magnoliacrank.entry import event_log
+    from magnoliacrank.entry import site_view
+    from magnoliacrank.model import backend_entry
+    from magnoliacrank.policy import crew_roster
+
+_ASKED_AT_ONCE = 3
+"""Servers that are asked for their load together."""
+
+_ROUNDS = 3
+"""Rounds of asking before a request waits."""
+
+_ROUND_S = 0.03
+"""Longest time for one round; later answers only update what is known."""
+
+_SHARED_REPORT_S = 0.006
+"""Age up to which a report serves several requests."""
+
+_STALE_REPORT_S = 0.2
+"""Age up to which a report is used where no health request may be sent."""
+
+_POLL_S = 0.012
+"""Interval at which the head of a line looks for a free server."""
+
+_NO_SERVER_RETRY_S = 0.5
+"""What a caller is told where no server is known; about one heartbeat."""
+
+_COLD_RATE_SHARE = 0.85
+"""Part of a cold server's rate that its owner uses. Two instances that both
+hold themselves to be its owner stay below the operators' bound."""
+
+_COLD_BURST = 1.0
+"""Requests to a cold server at once."""
+
+
+class NotPlaced(enum.Enum):
+    """Why there is no server for a request."""
+
+    NO_SERVER = "no-server"
+    """No server is known that may get it."""
+
+    OVERLOADED = "overloaded"
+    """All servers are busy for longer than the request can wait."""
+
+
+@attrs.frozen
+class Rejection:
+    """Sentinel in place of a server."""
+
+    reason: NotPlaced
+    """Why there is none."""
+
+    retry_after_s: float
+    """When room is expected, in seconds."""
+
+
+@attrs.frozen
+class Need:
+    """What a request needs of a server."""
+
+    service: str
+    """Service that runs it."""
+
+    priority: int
+    """Rank; 0 is the highest."""
+
+    arrived_s: float
+    """Clock time at which it arrived."""
+
+    give_up_s: float
+    """Clock time until which it may wait."""
+
+    body_bytes: int
+    """Size of its body."""
+
+    excluded: frozenset[str]
+    """Identities of servers that it was sent to before."""
+
+    wants_new: bool
+    """Whether it goes to the version on trial, if that has room."""
+
+
+class Placer:
+    """Chooses servers by asking a few of them for their load.
+
+    Args:
+        view: Known servers.
+        table: Links and reports.
+        roster: Who owns cold servers.
+        data_centre: Data centre of this instance.
+        log: Where faults are logged.
+        clock: Seconds.
+        spread: Randomness.
+    """
+
+    def __init__(
+        self,
+        view: site_view.SiteView,
+        table: backend_table.BackendTable,
+        roster: crew_roster.CrewRoster,
+        data_centre: str,
+        log: event_log.EventLog,
+        clock: Callable[[], float],
+        spread: random.Random,
+    ) -> None:
+        self._log = log
+        self._view = view
+        self._table = table
+        self._roster = roster
+        self._data_centre = data_centre
+        self._clock = clock
+        self._spread = spread
+        self._lines: dict[str, wait_line.WaitLine] = {}
+        self._drains: dict[str, drain_estimate.DrainEstimate] = {}
+        self._asking: dict[str, asyncio.Task[None]] = {}
+
+    def line(self, service: str) -> wait_line.WaitLine:
+        """Returns the requests of a service that wait."""
+        return self._lines.setdefault(service, wait_line.WaitLine())
+
+    async def place(self, need: Need) -> backend_table.Backend | Rejection:
+        """Finds a server, or says why there is none.
+
+        Args:
+            need: What the request needs.
+        """
+        line = self.line(need.service)
+        if not self._candidates(need):
+            return Rejection(NotPlaced.NO_SERVER, self._no_server_retry_s())
+        if not line.length:
+            backend = await self._find(need)
+            if backend is not None:
+                return self._placed(need, backend)
+        drain = self._drain(need.service)
+        now_s = self._clock()
+        wait_s = drain.wait_s(line.length, now_s)
+        left_s = need.give_up_s - now_s
+        if wait_s > left_s or left_s <= 0:
+            return self._overloaded(need.service)
+        if not await line.enter(need.priority, need.arrived_s, left_s):
+            return self._overloaded(need.service)
+        try:
+            return await self._wait_for_server(need, line)
+        finally:
+            line.leave()
+
+    def on_finished(self, backend: backend_table.Backend) -> None:
+        """Counts the end of a request at a server."""
+        backend.in_flight -= 1
+        line = self._lines.get(backend.entry.service)
+        if line is not None:
+            line.on_freed()
+
+    async def _wait_for_server(
+        self, need: Need, line: wait_line.WaitLine
+    ) -> backend_table.Backend | Rejection:
+        while True:
+            backend = await self._find(need)
+            if backend is not None:
+                return self._placed(need, backend)
+            if self._clock() + _POLL_S > need.give_up_s:
+                return self._overloaded(need.service)
+            await line.until_freed(_POLL_S)
+
+    def _placed(
+        self, need: Need, backend: backend_table.Backend
+    ) -> backend_table.Backend:
+        now_s = self._clock()
+        backend.on_dispatch(now_s)
+        self._drain(need.service).on_dispatch(now_s)
+        return backend
+
+    def _overloaded(self, service: str) -> Rejection:
+        retry_after_s = self._drain(service).retry_after_s(
+            self.line(service).length, self._clock(), self._spread
+        )
+        return Rejection(NotPlaced.OVERLOADED, retry_after_s)
+
+    def _no_server_retry_s(self) -> float:
+        return _NO_SERVER_RETRY_S * self._spread.uniform(0.6, 1.4)
+
+    def _drain(self, service: str) -> drain_estimate.DrainEstimate:
+        return self._drains.setdefault(service, drain_estimate.DrainEstimate())
+
+    async def _find(self, need: Need) -> backend_table.Backend | None:
+        """Asks servers in rounds; returns the first good one or the best."""
+        plan = self._view.plan
+        service = None if plan is None else plan.services.get(need.service)
+        health_path = "/health" if service is None else service.health_path
+        candidates = self._candidates(need)
+        for start in range(0, _ASKED_AT_ONCE * _ROUNDS, _ASKED_AT_ONCE):
+            asked = candidates[start : start + _ASKED_AT_ONCE]
+            if not asked:
+                break
+            good = await self._ask(need, asked, health_path)
+            if good is not None and self._try_take(good):
+                return good
+        usable = [
+            (rating.order, index, backend)
+            for index, backend in enumerate(candidates)
+            if (rating := self._rating(need, backend)) is not None
+            and rating.fit <= placement.Fit.SLOW
+        ]
+        for _, _, backend in sorted(usable):
+            if self._try_take(backend):
+                return backend
+        return None
+
+    async def _ask(
+        self,
+        need: Need,
+        asked: list[backend_table.Backend],
+        health_path: str,
+    ) -> backend_table.Backend | None:
+        """Asks servers together; returns the first that suits well."""
+        pending: set[asyncio.Task[None]] = set()
+        for backend in asked:
+            task = self._start_asking(backend, health_path)
+            if task is not None:
+                pending.add(task)
+        end_s = self._clock() + _ROUND_S
+        while True:
+            good = self._best_good(need, asked)
+            left_s = end_s - self._clock()
+            if good is not None or not pending or left_s <= 0:
+                return good
+            _, pending = await asyncio.wait(
+                pending,
+                timeout=left_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
+    def _start_asking(
+        self, backend: backend_table.Backend, health_path: str
+    ) -> asyncio.Task[None] | None:
+        now_s = self._clock()
+        if backend.report and now_s - backend.report_s <= _SHARED_REPORT_S:
+            return None
+        server_id = backend.entry.server_id
+        running = self._asking.get(server_id)
+        if running is not None:
+            return running
+        if not backend.probes.try_take(now_s):
+            return None
+        task = owned_task.spawn(
+            self._probe(backend, health_path), "probe", self._log
+        )
+        self._asking[server_id] = task
+        return task
+
+    async def _probe(
+        self, backend: backend_table.Backend, health_path: str
+    ) -> None:
+        try:
+            await self._table.probe(backend, health_path)
+        finally:
+            del self._asking[backend.entry.server_id]
+
+    def _best_good(
+        self, need: Need, asked: Iterable[backend_table.Backend]
+    ) -> backend_table.Backend | None:
+        good = [
+            (rating.order, index, backend)
+            for index, backend in enumerate(asked)
+            if (rating := self._rating(need, backend)) is not None
+            and rating.fit is placement.Fit.GOOD
+        ]
+        return min(good)[2] if good else None
+
+    def _rating(
+        self, need: Need, backend: backend_table.Backend
+    ) -> placement.Rating | None:
+        """Rates a server by a report of this moment; None without one."""
+        now_s = self._clock()
+        report = backend.report
+        if report is None or backend.health.is_silent(now_s):
+            return None
+        if now_s - backend.report_s > _STALE_REPORT_S:
+            return None
+        if backend.is_cold(now_s) and not self._may_use_cold(backend, now_s):
+            return None
+        return placement.rate(
+            report,
+            backend.sent_since_report,
+            backend.health.pace,
+            is_remote=backend.entry.data_centre != self._data_centre,
+            body_bytes=need.body_bytes,
+        )
+
+    def _candidates(self, need: Need) -> list[backend_table.Backend]:
+        """Returns servers in the order in which they are to be asked."""
+        now_s = self._clock()
+        target = self._view.target_version(need.service)
+        entries = [
+            entry
+            for entry in self._view.backends(need.service)
+            if entry.server_id not in need.excluded
+            and (target is None or (entry.version == target) == need.wants_new)
+        ]
+        backends = [self._table.find(entry) for entry in entries]
+        usable = [
+            backend
+            for backend in backends
+            if not backend.is_cold(now_s) or self._may_use_cold(backend, now_s)
+        ]
+        keyed = [
+            (self._preference(backend, now_s), self._spread.random(), backend)
+            for backend in usable
+        ]
+        keyed.sort(key=lambda item: item[:2])
+        return [backend for _, _, backend in keyed]
+
+    def _preference(
+        self, backend: backend_table.Backend, now_s: float
+    ) -> tuple[bool, bool, bool, bool]:
+        health = backend.health
+        entry = backend.entry
+        return (
+            health.is_silent(now_s),
+            health.is_blocked(now_s),
+            entry.data_centre != self._data_centre,
+            backend.in_flight >= entry.slots,
+        )
+
+    def _may_use_cold(
+        self, backend: backend_table.Backend, now_s: float
+    ) -> bool:
+        bucket = self._cold_bucket(backend)
+        return bucket.has_token(now_s) and self._is_owner(backend.entry, now_s)
+
+    def _try_take(self, backend: backend_table.Backend) -> bool:
+        """Takes a server, unless it left or turned cold meanwhile."""
+        now_s = self._clock()
+        if not self._view.is_usable(backend.entry):
+            return False
+        if not backend.is_cold(now_s):
+            return True
+        if not self._is_owner(backend.entry, now_s):
+            return False
+        return self._cold_bucket(backend).try_take(now_s)
+
+    def _is_owner(
+        self, entry: backend_entry.BackendEntry, now_s: float
+    ) -> bool:
+        return self._roster.is_owner(entry.server_id, entry.data_centre, now_s)
+
+    def _cold_bucket(
+        self, backend: backend_table.Backend
+    ) -> rate_bucket.RateBucket:
+        if backend.cold_bucket is None:
+            plan = self._view.plan
+            service = (
+                None
+                if plan is None
+                else plan.services.get(backend.entry.service)
+            )
+            rate_per_s = 1.0 if service is None else service.warmup_per_s
+            backend.cold_bucket = rate_bucket.RateBucket(
+                rate_per_s * _COLD_RATE_SHARE, _COLD_BURST
+            )
+        return backend.cold_bucket
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/service_handlers.py
@@ -0,0 +1,149 @@
+"""Handlers of an instance's ports beside the one for requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib import parse
+
+from magnoliacrank.entry import peer_records
+from magnoliacrank.platform import directory_wire
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliacrank.entry import entry_metrics
+    from magnoliacrank.entry import site_reader
+    from magnoliacrank.entry import site_view
+    from magnoliacrank.gateway import inbound_exchange
+    from magnoliacrank.policy import crew_roster
+
+METRICS_PATH = "/metrics"
+"""Path of the metrics on the port between instances."""
+
+_JSON = [("Content-Type", "application/json")]
+_TEXT = [("Content-Type", "text/plain; version=0.0.4")]
+
+
+class ReadyHandler:
+    """Tells the platform whether this instance can serve.
+
+    Args:
+        is_ready: Whether it can.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def on_request(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        """Answers a readiness check."""
+        if exchange.path != directory_wire.READY_PATH:
+            await exchange.answer(404, [], b"")
+            return
+        await exchange.answer(200 if self._is_ready() else 503, [], b"")
+
+
+class DirectoryHandler:
+    """Tells callers which instances to use: the crew of their data centre.
+
+    Args:
+        roster: Living instances.
+        front_port: Port for requests, the same on all instances.
+        ttl_s: Seconds for which callers may keep the answer.
+        clock: Seconds.
+    """
+
+    def __init__(
+        self,
+        roster: crew_roster.CrewRoster,
+        front_port: int,
+        ttl_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._roster = roster
+        self._front_port = front_port
+        self._ttl_s = ttl_s
+        self._clock = clock
+
+    async def on_request(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        """Answers a caller that asks where to connect."""
+        if exchange.path != directory_wire.RESOLVE_PATH:
+            await exchange.answer(404, [], b"")
+            return
+        now_s = self._clock()
+        data_centre = directory_wire.read_data_centre(exchange.target)
+        crew = self._roster.crew(data_centre, now_s)
+        if not crew:
+            crew = self._roster.whole_crew(now_s)
+        if not crew:
+            await exchange.answer(503, [], b"")
+            return
+        addresses = [f"{fact.ip}:{self._front_port}" for fact in crew]
+        content = directory_wire.encode_addresses(addresses, self._ttl_s)
+        await exchange.answer(200, _JSON, content)
+
+
+class PeerHandler:
+    """Hands records to other instances, and metrics to whoever asks.
+
+    Args:
+        view: The records.
+        reader: How old they are.
+        metrics: Counters.
+        clock: Seconds.
+    """
+
+    def __init__(
+        self,
+        view: site_view.SiteView,
+        reader: site_reader.SiteReader,
+        metrics: entry_metrics.EntryMetrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._reader = reader
+        self._metrics = metrics
+        self._clock = clock
+
+    async def on_request(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> None:
+        """Answers another instance, or a metrics collector."""
+        if exchange.path == METRICS_PATH:
+            await exchange.answer(200, _TEXT, self._metrics.render())
+        elif exchange.path == peer_records.PATH:
+            await exchange.answer(200, [], self._records(exchange.target))
+        else:
+            await exchange.answer(404, [], b"")
+
+    def _records(self, target: str) -> bytes:
+        query = parse.parse_qs(target.partition("?")[2])
+        view = self._view
+        return peer_records.encode(
+            peer_records.PeerRecords(
+                operators=peer_records.to_rows(
+                    view.operators.changes_since(_offset(query, "operators"))
+                ),
+                servers=peer_records.to_rows(
+                    view.servers.changes_since(_offset(query, "servers"))
+                ),
+                operators_mark=view.operators.mark,
+                servers_mark=view.servers.mark,
+                verified_age_ms=verified_age_ms(self._reader, self._clock()),
+            )
+        )
+
+
+def verified_age_ms(reader: site_reader.SiteReader, now_s: float) -> int:
+    """Returns the age of an instance's proof, or -1 if it has none."""
+    if reader.verified_s is None:
+        return -1
+    return max(round((now_s - reader.verified_s) * 1000), 0)
+
+
+def _offset(query: dict[str, list[str]], name: str) -> int:
+    text = query.get(name, ["0"])[0]
+    return int(text) if text.isdigit() else 0
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -0,0 +1,335 @@
+"""SiteView: what this instance believes about operators and servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from magnoliacrank.entry import keyed_view
+from magnoliacrank.model import orders
+from magnoliacrank.platform import backend_wire
+from magnoliacrank.platform import operator_wire
+from magnoliacrank.platform import wire_values
+from magnoliacrank.policy import lapsed_entries
+from magnoliacrank.policy import version_choice
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from magnoliacrank.entry import event_log
+    from magnoliacrank.model import backend_entry
+    from magnoliacrank.model import route_plan
+    from magnoliacrank.platform import store_records
+
+
+class SiteListener(Protocol):
+    """Who is told of changes."""
+
+    def on_plan(self, plan: route_plan.RoutePlan) -> None:
+        """A new configuration is in force."""
+
+    def on_rollout(self, order: orders.RolloutOrder, offset: int) -> None:
+        """Operators ordered a roll-out."""
+
+    def on_backend_gone(self, server_id: str) -> None:
+        """A backend server is gone, or has started anew under its identity."""
+
+
+class SiteView:
+    """Folded records of operators and backend servers.
+
+    Args:
+        log: Where changes are logged.
+        clock: Seconds that go on while the machine is suspended.
+    """
+
+    def __init__(
+        self, log: event_log.EventLog, clock: Callable[[], float]
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._listeners: list[SiteListener] = []
+        self.operators = keyed_view.KeyedView(_is_same_value)
+        self.servers = keyed_view.KeyedView(_is_same_entry)
+        self._plan: route_plan.RoutePlan | None = None
+        self._evacuated: frozenset[str] = frozenset()
+        self._orders: dict[str, tuple[orders.RolloutOrder, int]] = {}
+        self._statuses: dict[str, orders.RolloutStatus] = {}
+        self._entries: dict[str, backend_entry.BackendEntry] = {}
+        self._lapsed = lapsed_entries.LapsedEntries()
+        self._lapsing: dict[str, backend_entry.BackendEntry] = {}
+        self._versions = version_choice.VersionChoice()
+        self._by_service: dict[str, list[backend_entry.BackendEntry]] = {}
+
+    @property
+    def plan(self) -> route_plan.RoutePlan | None:
+        """Configuration in force; None before the first one is known."""
+        return self._plan
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Data centres that operators have taken out."""
+        return self._evacuated
+
+    @property
+    def rollout_orders(self) -> dict[str, tuple[orders.RolloutOrder, int]]:
+        """Roll-out orders with the offsets of their records, by service."""
+        return self._orders
+
+    @property
+    def statuses(self) -> dict[str, orders.RolloutStatus]:
+        """Recorded states of roll-outs by service."""
+        return self._statuses
+
+    @property
+    def has_backends(self) -> bool:
+        """Whether any backend server is known."""
+        return bool(self._entries)
+
+    def add_listener(self, listener: SiteListener) -> None:
+        """Adds someone who is told of changes."""
+        self._listeners.append(listener)
+
+    def backends(self, service: str) -> list[backend_entry.BackendEntry]:
+        """Returns the servers of a service that may get new requests.
+
+        Those of evacuated data centres, leaving ones and versions that no
+        order allows are left out.
+        """
+        found = self._by_service.get(service, [])
+        if not self._lapsing:
+            return found
+        return found + self._lapsed_backends(service)
+
+    def entry(self, server_id: str) -> backend_entry.BackendEntry | None:
+        """Returns the entry of a server, if it is registered."""
+        return self._entries.get(server_id)
+
+    def is_usable(self, entry: backend_entry.BackendEntry) -> bool:
+        """Whether a server that was chosen before may still get a request."""
+        return any(
+            found.server_id == entry.server_id
+            for found in self.backends(entry.service)
+        )
+
+    def target_version(self, service: str) -> str | None:
+        """Returns the version of a roll-out that is under way, if any."""
+        found = self._orders.get(service)
+        if found is None or self._is_decided(found[0]):
+            return None
+        return found[0].target_version
+
+    def on_store(self, *, answers: bool) -> None:
+        """Notes whether the store answers."""
+        self._lapsed.on_store(answers=answers, now_s=self._clock())
+
+    def apply_status(self, status: orders.RolloutStatus) -> None:
+        """Takes over a recorded or just decided state of a roll-out."""
+        if self._statuses.get(status.service) == status:
+            return
+        self._statuses[status.service] = status
+        self._log.event(
+            "rollout state",
+            service=status.service,
+            version=status.target_version,
+            state=status.state.value,
+        )
+        self._index()
+
+    def apply_operators(
+        self, changed: Iterable[store_records.KeyedRecord]
+    ) -> None:
+        """Takes over changed records of operators."""
+        for record in changed:
+            if record.key == operator_wire.CONFIGURATION_KEY:
+                self._apply_configuration(record)
+                continue
+            service = operator_wire.rollout_service(record.key)
+            if service is not None:
+                self._apply_rollout(service, record)
+        self._apply_evacuations()
+        self._index()
+
+    def apply_servers(
+        self, changed: Iterable[store_records.KeyedRecord]
+    ) -> None:
+        """Takes over changed records of backend servers."""
+        for record in changed:
+            self._apply_server(record)
+        self._index()
+
+    def _apply_configuration(self, record: store_records.KeyedRecord) -> None:
+        if record.value is None:
+            return
+        try:
+            plan = operator_wire.decode_configuration(record.value)
+        except wire_values.WireValueError as error:
+            self._log.warning(
+                "configuration unreadable",
+                offset=record.offset,
+                reason=str(error),
+            )
+            return
+        if self._plan is not None and plan.version <= self._plan.version:
+            return
+        self._plan = plan
+        self._log.event("configuration in force", version=plan.version)
+        for listener in self._listeners:
+            listener.on_plan(plan)
+
+    def _apply_rollout(
+        self, service: str, record: store_records.KeyedRecord
+    ) -> None:
+        if record.value is None:
+            self._orders.pop(service, None)
+            return
+        try:
+            order = operator_wire.decode_rollout(service, record.value)
+        except wire_values.WireValueError as error:
+            self._log.warning(
+                "rollout order unreadable", service=service, reason=str(error)
+            )
+            return
+        before = self._orders.get(service)
+        status = self._statuses.get(service)
+        if before is not None and status is not None:
+            # The state belongs to the order before this one.
+            self._versions.on_decided(status)
+            del self._statuses[service]
+        self._orders[service] = (order, record.offset)
+        self._log.event(
+            "rollout ordered",
+            service=service,
+            version=order.target_version,
+            duration_s=order.duration_s,
+        )
+        for listener in self._listeners:
+            listener.on_rollout(order, record.offset)
+
+    def _apply_evacuations(self) -> None:
+        found = (
+            operator_wire.evacuated_data_centre(key)
+            for key in self.operators.values()
+        )
+        evacuated = frozenset(name for name in found if name is not None)
+        if evacuated != self._evacuated:
+            self._log.event("evacuated", data_centres=sorted(evacuated))
+            self._evacuated = evacuated
+
+    def _apply_server(self, record: store_records.KeyedRecord) -> None:
+        before = self._entries.get(record.key)
+        entry = self._decode_entry(record)
+        if entry is None:
+            self._remove(record.key, before, is_read=record.value is not None)
+            return
+        self._lapsing.pop(record.key, None)
+        self._entries[record.key] = entry
+        if before is not None and before.born_ms != entry.born_ms:
+            self._tell_gone(record.key)
+        self._log.event(
+            "server registered" if before is None else "server changed",
+            server=entry.server_id,
+            service=entry.service,
+            address=f"{entry.host}:{entry.port}",
+            version=entry.version,
+            draining=entry.is_draining,
+        )
+
+    def _remove(
+        self,
+        server_id: str,
+        before: backend_entry.BackendEntry | None,
+        *,
+        is_read: bool,
+    ) -> None:
+        if before is None:
+            return
+        del self._entries[server_id]
+        now_s = self._clock()
+        if not is_read and not before.is_draining:
+            self._lapsed.on_removed(server_id, now_s)
+        if self._lapsed.is_lapsed(server_id, now_s):
+            self._lapsing[server_id] = before
+        else:
+            self._tell_gone(server_id)
+        self._log.event("server removed", server=server_id)
+
+    def _decode_entry(
+        self, record: store_records.KeyedRecord
+    ) -> backend_entry.BackendEntry | None:
+        if record.value is None:
+            return None
+        try:
+            return backend_wire.decode_entry(record.key, record.value)
+        except wire_values.WireValueError as error:
+            self._log.warning(
+                "server entry unreadable",
+                server=record.key,
+                reason=str(error),
+            )
+            return None
+
+    def _tell_gone(self, server_id: str) -> None:
+        for listener in self._listeners:
+            listener.on_backend_gone(server_id)
+
+    def _lapsed_backends(
+        self, service: str
+    ) -> list[backend_entry.BackendEntry]:
+        now_s = self._clock()
+        for server_id in list(self._lapsing):
+            if not self._lapsed.is_lapsed(server_id, now_s):
+                del self._lapsing[server_id]
+                self._tell_gone(server_id)
+        return [
+            entry
+            for entry in self._lapsing.values()
+            if entry.service == service
+            and entry.data_centre not in self._evacuated
+        ]
+
+    def _is_decided(self, order: orders.RolloutOrder) -> bool:
+        status = self._statuses.get(order.service)
+        return (
+            status is not None
+            and status.target_version == order.target_version
+            and status.state is not orders.RolloutState.RUNNING
+        )
+
+    def _index(self) -> None:
+        """Lists anew which servers of each service may get requests."""
+        by_service: dict[str, list[backend_entry.BackendEntry]] = {}
+        for entry in self._entries.values():
+            by_service.setdefault(entry.service, []).append(entry)
+        for service, entries in by_service.items():
+            order = self._orders.get(service)
+            allowed = self._versions.allowed(
+                service,
+                entries,
+                None if order is None else order[0],
+                self._statuses.get(service),
+            )
+            by_service[service] = [
+                entry
+                for entry in entries
+                if entry.version in allowed
+                and not entry.is_draining
+                and entry.data_centre not in self._evacuated
+            ]
+        self._by_service = by_service
+
+
+def _is_same_value(before: bytes | None, after: bytes | None) -> bool:
+    return before == after
+
+
+def _is_same_entry(before: bytes | None, after: bytes | None) -> bool:
+    if before is None or after is None:
+        return before == after
+    try:
+        old = backend_wire.decode_entry("", before)
+        new = backend_wire.decode_entry("", after)
+    except wire_values.WireValueError:
+        return before == after
+    return old.without_warmup() == new.without_warmup()
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/trial_keeper.py
@@ -0,0 +1,341 @@
+"""TrialKeeper: runs roll-outs, and records what becomes of them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from magnoliacrank.entry import owned_task
+from magnoliacrank.entry import peer_beat
+from magnoliacrank.model import orders
+from magnoliacrank.platform import operator_wire
+from magnoliacrank.platform import store_client
+from magnoliacrank.platform import wire_values
+from magnoliacrank.policy import version_trial
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliacrank.entry import event_log
+    from magnoliacrank.entry import site_view
+    from magnoliacrank.platform import settings_file
+    from magnoliacrank.policy import crew_roster
+
+_TICK_S = 0.1
+"""Interval at which trials are judged."""
+
+_STEP_IN_S = 0.5
+"""Further wait of each next instance in line before it records a state."""
+
+_CALL_TIMEOUT_S = 1.0
+"""Longest time for one answer of the store."""
+
+_REPORT_S = 15.0
+"""Time for which heartbeats tell of a decided roll-out."""
+
+
+@attrs.define
+class _Kept:
+    trial: version_trial.VersionTrial
+    wanted: orders.RolloutState
+    wanted_s: float
+    recorded: orders.RolloutState | None = None
+
+
+class TrialKeeper:
+    """Trials by service; each instance judges, one records.
+
+    Args:
+        view: Where states take effect.
+        store: Where states are recorded for operators.
+        roster: Whose duty recording is.
+        bounds: Operators' bounds on exposure.
+        log: Where decisions are logged.
+        clock: Seconds.
+    """
+
+    def __init__(
+        self,
+        view: site_view.SiteView,
+        store: store_client.StoreClient,
+        roster: crew_roster.CrewRoster,
+        bounds: settings_file.SafetyBounds,
+        log: event_log.EventLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._store = store
+        self._roster = roster
+        self._bounds = bounds
+        self._log = log
+        self._clock = clock
+        self._kept: dict[str, _Kept] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._on_urgent: Callable[[], None] = lambda: None
+
+    def set_urgent_handler(self, handler: Callable[[], None]) -> None:
+        """Sets what is called when other instances have to know at once."""
+        self._on_urgent = handler
+
+    async def start(self) -> None:
+        """Begins to judge."""
+        self._task = owned_task.spawn(self._run(), "trials", self._log)
+
+    async def close(self) -> None:
+        """Stops judging."""
+        await owned_task.stop(self._task)
+
+    async def load_states(self) -> bool:
+        """Takes over the recorded states; False if the store is away."""
+        newest = await self._store.newest(
+            store_client.STATUS_TOPIC, _CALL_TIMEOUT_S
+        )
+        if isinstance(newest, store_client.StoreFailure):
+            return False
+        for status in self._decode_states(newest):
+            self._view.apply_status(status)
+        return True
+
+    def trial(self, service: str) -> version_trial.VersionTrial | None:
+        """Returns the trial of a service's new version, if one is under way."""
+        kept = self._kept.get(service)
+        if kept is None or self._view.target_version(service) is None:
+            return None
+        return kept.trial
+
+    def on_rollout(self, order: orders.RolloutOrder, offset: int) -> None:
+        """Begins a trial, unless its outcome is already recorded."""
+        status = self._view.statuses.get(order.service)
+        if (
+            status is not None
+            and status.target_version == order.target_version
+            and status.state is not orders.RolloutState.RUNNING
+        ):
+            return
+        now_s = self._clock()
+        trial = version_trial.VersionTrial(
+            order,
+            offset,
+            now_s,
+            self._bounds.exposure_share,
+            self._bounds.exposure_slack,
+        )
+        self._kept[order.service] = _Kept(
+            trial, orders.RolloutState.RUNNING, now_s
+        )
+
+    def on_failure(self) -> None:
+        """A request failed at a new version."""
+        self._on_urgent()
+
+    def reports(self) -> list[peer_beat.TrialReport]:
+        """Returns what heartbeats tell of roll-outs."""
+        now_s = self._clock()
+        return [
+            self._report(kept, now_s)
+            for kept in self._kept.values()
+            if now_s < kept.trial.deadline_s + _REPORT_S
+        ]
+
+    def on_beat(self, beat: peer_beat.PeerBeat) -> None:
+        """Takes in what another instance knows of roll-outs."""
+        source = f"{beat.node}/{beat.incarnation}"
+        for report in beat.trials:
+            kept = self._kept.get(report.service)
+            if kept is None or kept.trial.order_offset != report.order_offset:
+                continue
+            trial = kept.trial
+            trial.move_start(self._clock() - report.age_ms / 1000)
+            trial.merge(source, _evidence(report.rows))
+            state = orders.RolloutState(report.state)
+            if state is orders.RolloutState.ROLLED_BACK:
+                trial.mark_faulty()
+                self._want(kept, state)
+            elif state is orders.RolloutState.COMPLETED:
+                kept.wanted = state
+                kept.recorded = state
+                self._apply(kept, state)
+
+    async def _run(self) -> None:
+        while True:
+            for kept in list(self._kept.values()):
+                self._judge(kept)
+                await self._record(kept)
+            await asyncio.sleep(_TICK_S)
+
+    def _judge(self, kept: _Kept) -> None:
+        if kept.wanted is not orders.RolloutState.RUNNING:
+            return
+        phase = kept.trial.phase(self._clock())
+        if phase is version_trial.TrialPhase.FAULTY:
+            self._want(kept, orders.RolloutState.ROLLED_BACK)
+        elif phase is version_trial.TrialPhase.READY:
+            self._want(kept, orders.RolloutState.COMPLETED)
+
+    def _want(self, kept: _Kept, state: orders.RolloutState) -> None:
+        """Decides; a roll-back takes effect at once, recorded or not."""
+        if kept.wanted is state:
+            return
+        if kept.recorded is orders.RolloutState.COMPLETED:
+            return
+        kept.wanted = state
+        kept.wanted_s = self._clock()
+        total = kept.trial.total()
+        self._log.event(
+            "rollout judged",
+            service=kept.trial.order.service,
+            version=kept.trial.order.target_version,
+            state=state.value,
+            age_s=round(self._clock() - kept.trial.started_s, 2),
+            new_answers=total.new.answers,
+            new_failures=total.new.failures,
+            old_answers=total.old.answers,
+            old_failures=total.old.failures,
+        )
+        if state is orders.RolloutState.ROLLED_BACK:
+            self._apply(kept, state)
+            self._on_urgent()
+
+    def _apply(self, kept: _Kept, state: orders.RolloutState) -> None:
+        order = kept.trial.order
+        self._view.apply_status(
+            orders.RolloutStatus(order.service, order.target_version, state)
+        )
+
+    async def _record(self, kept: _Kept) -> None:
+        if kept.recorded is kept.wanted:
+            return
+        now_s = self._clock()
+        place = self._roster.duty_order(now_s)
+        if now_s < kept.wanted_s + _STEP_IN_S * place:
+            return
+        if kept.wanted is orders.RolloutState.RUNNING and place:
+            # Only the first in line announces the beginning.
+            return
+        order = kept.trial.order
+        status = orders.RolloutStatus(
+            order.service, order.target_version, kept.wanted
+        )
+        recorded = await self._write(status)
+        if recorded is None:
+            return
+        kept.recorded = recorded.state
+        if recorded.state is not orders.RolloutState.RUNNING:
+            kept.wanted = recorded.state
+            self._apply(kept, recorded.state)
+            self._on_urgent()
+
+    async def _write(
+        self, status: orders.RolloutStatus
+    ) -> orders.RolloutStatus | None:
+        """Writes a state unless a final one is there; returns what is there.
+
+        The write is conditional on the end of the topic, so an instance that
+        was paused between reading and writing changes nothing.
+        """
+        newest = await self._store.newest(
+            store_client.STATUS_TOPIC, _CALL_TIMEOUT_S
+        )
+        if isinstance(newest, store_client.StoreFailure):
+            self._log_failure(status, newest)
+            return None
+        for known in self._decode_states(newest):
+            if (
+                known.service == status.service
+                and known.target_version == status.target_version
+                and status.state is not orders.RolloutState.RUNNING
+                and known.state is not orders.RolloutState.RUNNING
+            ):
+                return known
+        result = await self._store.append(
+            store_client.STATUS_TOPIC,
+            operator_wire.rollout_key(status.service),
+            operator_wire.encode_rollout_status(status),
+            _CALL_TIMEOUT_S,
+            newest.end,
+        )
+        if isinstance(result, store_client.StoreFailure):
+            self._log_failure(status, result)
+            return None
+        return status
+
+    def _log_failure(
+        self, status: orders.RolloutStatus, failure: store_client.StoreFailure
+    ) -> None:
+        self._log.warning(
+            "rollout state not recorded",
+            service=status.service,
+            state=status.state.value,
+            reason=failure.kind.value,
+            detail=failure.detail,
+        )
+
+    def _decode_states(
+        self, newest: store_client.NewestRecords
+    ) -> list[orders.RolloutStatus]:
+        found = []
+        for record in newest.records:
+            service = operator_wire.rollout_service(record.key)
+            if service is None or record.value is None:
+                continue
+            try:
+                found.append(
+                    operator_wire.decode_rollout_status(service, record.value)
+                )
+            except wire_values.WireValueError as error:
+                self._log.warning(
+                    "rollout state unreadable",
+                    service=service,
+                    reason=str(error),
+                )
+        return found
+
+    def _report(self, kept: _Kept, now_s: float) -> peer_beat.TrialReport:
+        trial = kept.trial
+        state = kept.wanted
+        if (
+            state is orders.RolloutState.COMPLETED
+            and kept.recorded is not state
+        ):
+            state = orders.RolloutState.RUNNING
+        return peer_beat.TrialReport(
+            service=trial.order.service,
+            order_offset=trial.order_offset,
+            age_ms=round((now_s - trial.started_s) * 1000),
+            state=state.value,
+            target_version=trial.order.target_version,
+            rows=[
+                (
+                    route,
+                    pair.old.answers,
+                    pair.old.failures,
+                    pair.old.duration_s,
+                    pair.new.answers,
+                    pair.new.failures,
+                    pair.new.duration_s,
+                )
+                for route, pair in trial.own_evidence.items()
+            ],
+        )
+
+
+def _evidence(
+    rows: list[peer_beat.EvidenceRow],
+) -> dict[str, version_trial.EvidencePair]:
+    return {
+        route: version_trial.EvidencePair(
+            version_trial.Evidence(old_answers, old_failures, old_s),
+            version_trial.Evidence(new_answers, new_failures, new_s),
+        )
+        for (
+            route,
+            old_answers,
+            old_failures,
+            old_s,
+            new_answers,
+            new_failures,
+            new_s,
+        ) in rows
+    }
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/wait_line.py
@@ -0,0 +1,89 @@
+"""WaitLine: requests of one service that wait for a backend server.
+
+Load pattern: all servers are busy. Requests go on by priority and age, and a
+few at a time look for a free server, so that health requests stay bounded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+
+WIDTH = 3
+"""Requests that look for a server at the same time."""
+
+PRIORITY_STEP_S = 0.1
+"""Head start of each rank of priority, in seconds of waiting.
+
+Bounded, so that no rank starves another."""
+
+
+class WaitLine:
+    """A queue by priority and arrival."""
+
+    def __init__(self) -> None:
+        self._waiting: list[tuple[float, int, asyncio.Future[None]]] = []
+        self._numbers = itertools.count()
+        self._active = 0
+        self._freed = asyncio.Event()
+
+    @property
+    def length(self) -> int:
+        """Requests that wait or look for a server."""
+        return self._active + sum(
+            not future.done() for _, _, future in self._waiting
+        )
+
+    async def enter(
+        self, priority: int, arrived_s: float, timeout_s: float
+    ) -> bool:
+        """Waits for a turn to look for a server; False if none came.
+
+        Args:
+            priority: Rank; 0 is the highest.
+            arrived_s: Monotonic time of arrival in seconds.
+            timeout_s: Longest time to wait.
+        """
+        if self._active < WIDTH:
+            self._active += 1
+            return True
+        future: asyncio.Future[None] = asyncio.Future()
+        key = arrived_s + priority * PRIORITY_STEP_S
+        heapq.heappush(self._waiting, (key, next(self._numbers), future))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await future
+        except TimeoutError:
+            return False
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.leave()
+            raise
+        return True
+
+    def leave(self) -> None:
+        """Hands the turn to the next request."""
+        while self._waiting:
+            _, _, future = heapq.heappop(self._waiting)
+            if not future.done():
+                future.set_result(None)
+                return
+        self._active -= 1
+
+    def on_freed(self) -> None:
+        """A server has finished a request."""
+        self._freed.set()
+
+    async def until_freed(self, timeout_s: float) -> None:
+        """Waits until a server finishes a request, or for a while.
+
+        Args:
+            timeout_s: Longest time to wait.
+        """
+        self._freed.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._freed.wait()
+        except TimeoutError:
+            return
--- a/packages/gateway/src/magnoliacrank/gateway/answer_framing.py
+++ b/packages/gateway/src/magnoliacrank/gateway/answer_framing.py
@@ -24,9 +24,13 @@
     length: int | None
     """Length of the body in bytes, None for chunks."""
 
+    ends_with_connection: bool = False
+    """Whether the server's close is the end of the body."""
+
 
 _EMPTY = Frame(0)
 _CHUNKED = Frame(None)
+_UNTIL_CLOSE = Frame(None, ends_with_connection=True)
 
 
 def is_interim(message: http_parser.RawResponseMessage) -> bool:
@@ -35,16 +39,19 @@
 
 
 def read_frame(
-    message: http_parser.RawResponseMessage, *, is_head_request: bool
+    message: http_parser.RawResponseMessage,
+    *,
+    is_head_request: bool,
+    allows_close: bool = False,
 ) -> Frame | None:
     """Returns the frame of an answer, or None for one that is not sound.
 
-    An answer that ends where its connection ends is not sound, since nobody
-    could tell a whole one from a cut one.
-
     Args:
         message: The parsed head.
         is_head_request: Whether no body follows in any case.
+        allows_close: Whether an orderly close may end an answer that has no
+            length. Where a server may fail between two writes, nobody could
+            tell a whole answer of this kind from a cut one.
     """
     if (
         message.code == 101
@@ -63,7 +70,9 @@
         return _EMPTY
     if coding is not None:
         return _CHUNKED
-    return None if length is None else Frame(int(length))
+    if length is None:
+        return _UNTIL_CLOSE if allows_close else None
+    return Frame(int(length))
 
 
 class ByteAccount:
--- a/packages/gateway/src/magnoliacrank/gateway/front_server.py
+++ b/packages/gateway/src/magnoliacrank/gateway/front_server.py
@@ -66,6 +66,14 @@
         """Number of requests that are being answered."""
         return sum(connection.is_busy for connection in self._connections)
 
+    def set_limits(self, limits: front_limits.FrontLimits) -> None:
+        """Puts limits into force for connections that open from now on.
+
+        Args:
+            limits: Limits on callers' connections.
+        """
+        self._limits = limits
+
     async def start(self, host: str, port: int) -> None:
         """Starts to listen.
 
--- a/packages/gateway/src/magnoliacrank/gateway/server_connection.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_connection.py
@@ -19,6 +19,7 @@
     import asyncio
 
     from aiohttp import streams
+    from multidict import CIMultiDictProxy
 
 FailureKind = exchange_failure.FailureKind
 
@@ -88,6 +89,13 @@
         self.payload = payload
 
 
+class AnswerFilter(Protocol):
+    """Tells an answer to the present request from one to an earlier."""
+
+    def __call__(self, headers: CIMultiDictProxy[str], /) -> bool:
+        """Whether an answer with these headers is awaited."""
+
+
 class ConnectionOwner(Protocol):
     """What a connection tells the pool that owns it."""
 
@@ -107,13 +115,25 @@
     It is reused only after a whole answer whose bytes are all accounted for.
     After a timeout, a cancel, a short or malformed answer or bytes that
     nobody asked for it is closed, so a late answer meets no other request.
+
+    Args:
+        owner: The pool.
+        loop: The event loop.
+        allows_close: Whether an orderly close may end an answer.
     """
 
     def __init__(
-        self, owner: ConnectionOwner, loop: asyncio.AbstractEventLoop
+        self,
+        owner: ConnectionOwner,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        allows_close: bool = False,
     ) -> None:
         super().__init__(loop, None)
         self._owner = owner
+        self._allows_close = allows_close
+        self._is_own: AnswerFilter | None = None
+        self._ends_with_connection = False
         self._state = State.IDLE
         self._waiter: asyncio.Future[
             AnswerHead | exchange_failure.ExchangeFailure
@@ -166,6 +186,7 @@
         *,
         is_head_request: bool,
         deadline_s: float,
+        is_own: AnswerFilter | None = None,
     ) -> asyncio.Future[AnswerHead | exchange_failure.ExchangeFailure]:
         """Sends the head of a request, with or without its body.
 
@@ -173,6 +194,9 @@
             data: Bytes to write.
             is_head_request: Whether the answer has no body in any case.
             deadline_s: Monotonic time at which the exchange fails.
+            is_own: Whether an answer with these headers belongs to this
+                request; others are dropped, and the connection is not
+                used again.
 
         Returns:
             A future of the answer's head or of the failure.
@@ -183,6 +207,7 @@
             self._parser = self._new_parser(has_body=not is_head_request)
         self._account.reset()
         self._is_last = False
+        self._is_own = is_own
         self._exchanges += 1
         self._waiter = self._loop.create_future()
         self.sent_s = time.monotonic()
@@ -245,6 +270,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """The connection closed."""
+        if self._state is State.ANSWERING and self._ends_with_connection:
+            self._end_with_connection(exc)
         cut_short = self._state is State.ANSWERING
         super().connection_lost(exc)
         if self._state is State.WHOLE:
@@ -301,12 +328,22 @@
             self._account.reset()
             self._is_last = True
             return
+        if self._is_own is not None and not self._is_own(message.headers):
+            self._account.reset()
+            self._is_last = True
+            return
         frame = answer_framing.read_frame(
-            message, is_head_request=self._is_head_request
+            message,
+            is_head_request=self._is_head_request,
+            allows_close=self._allows_close,
         )
         if frame is None:
             self.retire(FailureKind.MALFORMED)
             return
+        self._ends_with_connection = frame.ends_with_connection
+        if self._is_sending():
+            # The server reads on where the rest of the body is due.
+            self._is_last = True
         self._is_last = self._is_last or message.should_close
         self._payload = payload
         self._body_length = frame.length
@@ -314,6 +351,17 @@
         if not self._waiter.done():
             self._waiter.set_result(AnswerHead(message, payload))
 
+    def _is_sending(self) -> bool:
+        transport = cast("asyncio.Transport | None", self.transport)
+        return transport is not None and transport.get_write_buffer_size() > 0
+
+    def _end_with_connection(self, exc: BaseException | None) -> None:
+        if exc is not None:
+            return
+        self._is_last = True
+        cast("http_parser.HttpResponseParser", self._parser).feed_eof()
+        self._check_end()
+
     def _check_end(self) -> None:
         if self._state is not State.ANSWERING:
             return
@@ -349,6 +397,6 @@
             max_headers=_MAX_HEADERS,
             max_field_size=_MAX_FIELD_BYTES,
             response_with_body=has_body,
-            read_until_eof=False,
+            read_until_eof=self._allows_close,
             auto_decompress=False,
         )
--- /dev/null
+++ b/packages/platform/src/magnoliacrank/platform/backend_wire.py
@@ -0,0 +1,109 @@
+"""Decodes what backend servers say, in the store and in health answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliacrank.model import backend_entry
+from magnoliacrank.platform import request_wire
+from magnoliacrank.platform import wire_values
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_IS_DRAINING = {"ready": False, "draining": True}
+_USUAL_PACE = 100.0
+_HEALTHY_STATUS = 200
+_MIN_LOAD_FIELDS = 3
+
+
+def decode_entry(server_id: str, value: bytes) -> backend_entry.BackendEntry:
+    """Decodes the entry of a backend server.
+
+    Raises:
+        WireValueError: It can't be read; it then names no server to use.
+    """
+    try:
+        fields = msgspec.json.decode(value)
+    except ValueError as error:
+        raise wire_values.WireValueError(str(error)) from error
+    info = wire_values.read_table(fields, "info")
+    status = wire_values.read_table(fields, "status")
+    state = wire_values.read_text(status, "state")
+    if state not in _IS_DRAINING:
+        raise wire_values.WireValueError(f"state: {state!r}")
+    wire_values.read_whole(status, "seq")
+    host, port = wire_values.parse_address(
+        wire_values.read_text(fields, "address"), "address"
+    )
+    born_ms = 0
+    if "born" in fields:
+        born_ms = wire_values.read_whole(fields, "born")
+    return backend_entry.BackendEntry(
+        server_id=server_id,
+        service=wire_values.read_text(info, "service"),
+        host=host,
+        port=port,
+        data_centre=wire_values.read_text(info, "zone"),
+        version=wire_values.read_text(info, "version"),
+        slots=wire_values.read_whole(info, "slots", 1),
+        is_draining=_IS_DRAINING[state],
+        warmup_left_s=wire_values.read_duration_s(status, "warmup-left"),
+        born_ms=born_ms,
+    )
+
+
+def decode_health(
+    status: int, headers: Mapping[str, str]
+) -> backend_entry.LoadReport:
+    """Decodes an answer of a backend server's health path.
+
+    Figures that can't be read count as not told.
+
+    Args:
+        status: HTTP status.
+        headers: Headers of the answer; look-ups ignore case.
+    """
+    running, waiting, slots, slowdown = decode_load(
+        headers.get(request_wire.SERVER_LOAD, "")
+    )
+    cold_s = 0.0
+    left = headers.get(request_wire.WARMUP_REMAINING)
+    if left is not None:
+        cold_s = _lenient_duration_s(left)
+    return backend_entry.LoadReport(
+        server_id=headers.get(request_wire.INSTANCE_ID, ""),
+        is_healthy=status == _HEALTHY_STATUS,
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowdown=slowdown,
+        cold_s=cold_s,
+    )
+
+
+def decode_load(text: str) -> tuple[int, int, int, float]:
+    """Returns running, waiting, slots and slowdown; zero slots if untold."""
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) < _MIN_LOAD_FIELDS or not all(
+        part.isdigit() for part in parts
+    ):
+        return 0, 0, 0, 1.0
+    figures = [int(part) for part in parts]
+    pace = figures[3] if len(figures) > _MIN_LOAD_FIELDS else _USUAL_PACE
+    return figures[0], figures[1], figures[2], pace / _USUAL_PACE
+
+
+def _lenient_duration_s(text: str) -> float:
+    """Seconds of a time with its unit, or of a bare number of seconds."""
+    try:
+        return wire_values.parse_duration_s(text.strip(), "warmup")
+    except wire_values.WireValueError:
+        pass
+    try:
+        return max(float(text), 0.0)
+    except ValueError:
+        # An unreadable time still says that the server is cold.
+        return 1.0
--- /dev/null
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -0,0 +1,267 @@
+"""StoreClient: calls to the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+import attrs
+import msgspec
+
+from magnoliacrank.platform import store_records
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+OPERATOR_TOPIC = "keyed.op"
+"""What operators wrote; keys are decoded in `operator_wire`."""
+
+SERVERS_TOPIC = "keyed.servers"
+"""What backend servers say of themselves."""
+
+STATUS_TOPIC = "keyed.status"
+"""What this system reports to operators."""
+
+MEMBERS_TOPIC = "keyed.magnoliacrank"
+"""This system's own records: its instances and notes on roll-outs."""
+
+_OK = 200
+_GONE = 410
+_CONDITION_FAILED = 412
+_MAX_PAGES = 1000
+
+
+class StoreFailureKind(enum.Enum):
+    """Why a call has no result."""
+
+    NO_ANSWER = "no-answer"
+    """Nothing came back; a write may have had its effect, or will have."""
+
+    REFUSED = "refused"
+    """The store did nothing."""
+
+    EXPIRED = "expired"
+    """The records asked for are no longer kept."""
+
+    CONFLICT = "conflict"
+    """The condition of a write did not hold; nothing was written."""
+
+    MALFORMED = "malformed"
+    """The answer can't be read."""
+
+
+@attrs.frozen
+class StoreFailure:
+    """Sentinel in place of a result."""
+
+    kind: StoreFailureKind
+    """Why there is no result."""
+
+    detail: str
+    """For the log."""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a write may have had its effect, or may have it later."""
+        return self.kind in (
+            StoreFailureKind.NO_ANSWER,
+            StoreFailureKind.MALFORMED,
+        )
+
+
+@attrs.frozen
+class NewestRecords:
+    """Newest record of each key of a topic."""
+
+    records: tuple[store_records.KeyedRecord, ...]
+    """One record for each key."""
+
+    end: int
+    """Offset from which to follow; no later change is missed."""
+
+
+class StoreClient:
+    """Client of the store; one connection pool.
+
+    Args:
+        host: IP address of the store.
+        port: TCP port of the store.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._url = f"http://{host}:{port}/api/"
+        self._session: aiohttp.ClientSession | None = None
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        return self._calls
+
+    async def start(self) -> None:
+        """Opens the client; the first call connects."""
+        # Idle connections may have gone silent, and a kept connection that
+        # breaks makes the library repeat a call; a fresh one does neither.
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True, limit=16),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(
+        self, topic: str, start: int, wait_s: float, timeout_s: float
+    ) -> store_records.RecordPage | StoreFailure:
+        """Reads the records of a keyed topic from an offset.
+
+        Args:
+            topic: Name of the topic.
+            start: Offset of the first record.
+            wait_s: How long the store waits for a record, in seconds.
+            timeout_s: Longest time for the answer beyond that, in seconds.
+        """
+        query = {"topic": topic, "part": "0", "from": str(start)}
+        if wait_s > 0:
+            query["wait-ms"] = str(round(wait_s * 1000))
+        answer = await self._call(
+            "GET", "log-read", query, b"", wait_s + timeout_s
+        )
+        if isinstance(answer, StoreFailure):
+            return answer
+        try:
+            return store_records.decode_page(answer, start)
+        except store_records.RecordFormatError as error:
+            return StoreFailure(StoreFailureKind.MALFORMED, str(error))
+
+    async def newest(
+        self, topic: str, timeout_s: float
+    ) -> NewestRecords | StoreFailure:
+        """Reads the newest record of each key, page by page.
+
+        Pages are no snapshot: following from the end of the first page
+        repeats changes made meanwhile and misses none.
+
+        Args:
+            topic: Name of the topic.
+            timeout_s: Longest time for each page, in seconds.
+        """
+        records: list[store_records.KeyedRecord] = []
+        first_end: int | None = None
+        query = {"topic": topic, "part": "0"}
+        for _ in range(_MAX_PAGES):
+            answer = await self._call(
+                "GET", "log-newest", query, b"", timeout_s
+            )
+            if isinstance(answer, StoreFailure):
+                return answer
+            try:
+                page = _decode_newest(answer)
+            except (ValueError, KeyError, TypeError) as error:
+                return StoreFailure(StoreFailureKind.MALFORMED, repr(error))
+            records += page.records
+            if first_end is None:
+                first_end = page.end
+            if not page.has_more or not page.records:
+                return NewestRecords(tuple(records), first_end)
+            query["after"] = page.records[-1].key
+        return StoreFailure(StoreFailureKind.MALFORMED, "pages without an end")
+
+    async def append(
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        timeout_s: float,
+        expected_end: int | None = None,
+    ) -> int | StoreFailure:
+        """Appends one keyed record; returns its offset.
+
+        Args:
+            topic: Name of the topic.
+            key: Key of the record.
+            value: Value of the record.
+            timeout_s: Longest time for the answer, in seconds.
+            expected_end: Offset at which the topic has to end, if any.
+        """
+        query = {"topic": topic, "part": "0"}
+        if expected_end is not None:
+            query["at"] = str(expected_end)
+        body = store_records.encode(key, value)
+        answer = await self._call("POST", "log-append", query, body, timeout_s)
+        if isinstance(answer, StoreFailure):
+            return answer
+        try:
+            return int(msgspec.json.decode(answer)["offset"])
+        except (ValueError, KeyError, TypeError) as error:
+            return StoreFailure(StoreFailureKind.MALFORMED, repr(error))
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        query: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> bytes | StoreFailure:
+        if self._session is None:
+            return StoreFailure(StoreFailureKind.REFUSED, "client not started")
+        self._calls += 1
+        try:
+            async with self._session.request(
+                method,
+                self._url + name,
+                params=query,
+                data=body or None,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as answer:
+                data = await answer.read()
+                status = answer.status
+        except aiohttp.ClientConnectorError as error:
+            return StoreFailure(StoreFailureKind.REFUSED, str(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return StoreFailure(StoreFailureKind.NO_ANSWER, repr(error))
+        if status == _OK:
+            return data
+        kind = _FAILURES.get(status, StoreFailureKind.REFUSED)
+        return StoreFailure(kind, f"{name} status {status}")
+
+
+_FAILURES = {
+    _GONE: StoreFailureKind.EXPIRED,
+    _CONDITION_FAILED: StoreFailureKind.CONFLICT,
+}
+
+
+@attrs.frozen
+class _NewestPage:
+    records: tuple[store_records.KeyedRecord, ...]
+    has_more: bool
+    end: int
+
+
+def _decode_newest(data: bytes) -> _NewestPage:
+    document: Any = msgspec.json.decode(data)
+    records = tuple(
+        store_records.KeyedRecord(
+            str(item["key"]), _decode_value(item["value"]), int(item["offset"])
+        )
+        for item in document["items"]
+    )
+    return _NewestPage(
+        records, bool(document.get("has-more")), int(document["end"])
+    )
+
+
+def _decode_value(text: str) -> bytes | None:
+    try:
+        return base64.b64decode(text) or None
+    except binascii.Error as error:
+        raise ValueError(str(error)) from error
--- /dev/null
+++ b/packages/platform/src/magnoliacrank/platform/wire_values.py
@@ -0,0 +1,125 @@
+"""Checked access to decoded documents of the platform."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_SECONDS = {"ms": 0.001, "s": 1.0}
+
+
+class WireValueError(ValueError):
+    """A field is missing or holds a value that is not allowed."""
+
+
+def parse_duration_s(text: Any, field: str) -> float:
+    """Returns the seconds that a time with its unit stands for.
+
+    Args:
+        text: Such as `1500ms` or `2.5s`.
+        field: Name of the field, for the error.
+
+    Raises:
+        WireValueError: It is no such time.
+    """
+    found = _DURATION.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise WireValueError(f"{field}: {text!r} is not a time such as 1500ms")
+    return float(found[1]) * _SECONDS[found[2]]
+
+
+def format_duration(seconds: float) -> str:
+    """Returns a time with its unit."""
+    return f"{round(seconds * 1000)}ms"
+
+
+def read_text(fields: Any, name: str) -> str:
+    """Returns a text field that is not empty.
+
+    Raises:
+        WireValueError: It is missing, empty or of another type.
+    """
+    value = _read(fields, name)
+    if not isinstance(value, str) or not value:
+        raise WireValueError(f"{name}: {value!r} is not a text")
+    return value
+
+
+def read_number(fields: Any, name: str, minimum: float = 0.0) -> float:
+    """Returns a number.
+
+    Raises:
+        WireValueError: It is missing, too small or of another type.
+    """
+    value = _read(fields, name)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise WireValueError(f"{name}: {value!r} is not a number")
+    if value < minimum:
+        raise WireValueError(f"{name}: {value!r} is less than {minimum:g}")
+    return value
+
+
+def read_whole(fields: Any, name: str, minimum: int = 0) -> int:
+    """Returns a whole number.
+
+    Raises:
+        WireValueError: It is missing, too small or of another type.
+    """
+    value = read_number(fields, name, minimum)
+    if not isinstance(value, int):
+        raise WireValueError(f"{name}: {value!r} is not a whole number")
+    return value
+
+
+def read_duration_s(fields: Any, name: str) -> float:
+    """Returns a time in seconds.
+
+    Raises:
+        WireValueError: It is missing or not a time.
+    """
+    return parse_duration_s(_read(fields, name), name)
+
+
+def read_list(fields: Any, name: str) -> list[Any]:
+    """Returns a list.
+
+    Raises:
+        WireValueError: It is missing or of another type.
+    """
+    value = _read(fields, name)
+    if not isinstance(value, list):
+        raise WireValueError(f"{name}: {value!r} is not a list")
+    return value
+
+
+def read_table(fields: Any, name: str) -> dict[str, Any]:
+    """Returns a table.
+
+    Raises:
+        WireValueError: It is missing or of another type.
+    """
+    value = _read(fields, name)
+    if not isinstance(value, dict):
+        raise WireValueError(f"{name}: {value!r} is not a table")
+    return value
+
+
+def _read(fields: Any, name: str) -> Any:
+    if not isinstance(fields, dict):
+        raise WireValueError(f"{name}: {fields!r} is not a table")
+    if name not in fields:
+        raise WireValueError(f"{name}: missing")
+    return fields[name]
+
+
+def parse_address(text: str, field: str) -> tuple[str, int]:
+    """Returns host and port of an address.
+
+    Raises:
+        WireValueError: It is no address.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise WireValueError(f"{field}: {text!r} is not HOST:PORT")
+    return host, int(port)
--- /dev/null
+++ b/packages/policy/src/magnoliacrank/policy/crew_roster.py
@@ -0,0 +1,223 @@
+"""CrewRoster: which instances live, and which of them carry the traffic.
+
+Load pattern: an instance is lost, frozen or stopped while requests arrive.
+The crew of a data centre changes within a second, and every limit that has
+one owner (a cold backend server) moves with it.
+"""
+
+from __future__ import annotations
+
+import functools
+
+import attrs
+import xxhash
+
+CREW_SILENCE_S = 1.0
+"""Silence after which a member of a crew is left out; four heartbeats."""
+
+MEMBER_SILENCE_S = 3.5
+"""Silence after which another instance is left out; three heartbeats."""
+
+FORGET_S = 60.0
+"""Silence after which an instance is no longer sent heartbeats."""
+
+DEFAULT_CREW_SIZE = 2
+"""Instances that carry a data centre's traffic; one loss leaves one."""
+
+
+@attrs.frozen
+class PeerFact:
+    """What one heartbeat says of its sender."""
+
+    node: str
+    """Name of the instance."""
+
+    data_centre: str
+    """Data centre in which it stands."""
+
+    ip: str
+    """IP address of the instance."""
+
+    incarnation: int
+    """Unix millisecond of its start."""
+
+    is_ready: bool
+    """Whether it can serve."""
+
+    is_leaving: bool
+    """Whether it is shutting down."""
+
+    beats_often: bool
+    """Whether it sends heartbeats at the crew's rate."""
+
+
+@attrs.define
+class _Member:
+    fact: PeerFact
+    heard_s: float
+
+
+@functools.cache
+def _rank(node: str) -> int:
+    return xxhash.xxh64_intdigest(node.encode())
+
+
+def _weight(node: str, server_id: str) -> int:
+    return xxhash.xxh64_intdigest(f"{node}/{server_id}".encode())
+
+
+class CrewRoster:
+    """Instances by name, with the time each was heard last.
+
+    Args:
+        own: Facts about this instance.
+        crew_size: Instances that carry a data centre's traffic.
+    """
+
+    def __init__(
+        self, own: PeerFact, crew_size: int = DEFAULT_CREW_SIZE
+    ) -> None:
+        self._own = own
+        self._crew_size = crew_size
+        self._members: dict[str, _Member] = {}
+        self._addresses: dict[str, float] = {}
+
+    @property
+    def own(self) -> PeerFact:
+        """Facts about this instance."""
+        return self._own
+
+    def set_own(self, own: PeerFact) -> None:
+        """Replaces the facts about this instance."""
+        self._own = own
+
+    def introduce(self, ip: str, now_s: float) -> None:
+        """Notes an address at which an instance may listen.
+
+        Args:
+            ip: IP address.
+            now_s: Monotonic time in seconds.
+        """
+        if ip != self._own.ip:
+            self._addresses[ip] = now_s
+
+    def hear(self, fact: PeerFact, now_s: float) -> None:
+        """Takes in a heartbeat; one of an older incarnation is ignored.
+
+        Args:
+            fact: What it says of its sender.
+            now_s: Monotonic time in seconds.
+        """
+        if fact.node == self._own.node:
+            return
+        known = self._members.get(fact.node)
+        if known and known.fact.incarnation > fact.incarnation:
+            return
+        self._members[fact.node] = _Member(fact, now_s)
+        self._addresses[fact.ip] = now_s
+
+    def addresses(self, now_s: float) -> list[str]:
+        """Returns the addresses that heartbeats go to.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        old = [
+            ip
+            for ip, heard_s in self._addresses.items()
+            if now_s - heard_s > FORGET_S
+        ]
+        for ip in old:
+            del self._addresses[ip]
+        return list(self._addresses)
+
+    def alive(self, now_s: float) -> list[PeerFact]:
+        """Returns the instances that can serve, this one included, by rank.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        facts = [
+            member.fact
+            for member in self._members.values()
+            if _is_heard(member, now_s)
+        ]
+        facts.append(self._own)
+        usable = [
+            fact for fact in facts if fact.is_ready and not fact.is_leaving
+        ]
+        return sorted(usable, key=lambda fact: _rank(fact.node))
+
+    def crew(self, data_centre: str, now_s: float) -> list[PeerFact]:
+        """Returns the instances that carry a data centre's traffic.
+
+        Args:
+            data_centre: Name of the data centre.
+            now_s: Monotonic time in seconds.
+        """
+        return self._crew_of(self.alive(now_s), data_centre)
+
+    def whole_crew(self, now_s: float) -> list[PeerFact]:
+        """Returns the crews of all data centres, by rank.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        alive = self.alive(now_s)
+        places = {fact.data_centre for fact in alive}
+        crew = [
+            fact for place in places for fact in self._crew_of(alive, place)
+        ]
+        return sorted(crew, key=lambda fact: _rank(fact.node))
+
+    def is_crew(self, now_s: float) -> bool:
+        """Whether this instance carries traffic.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        return self._own in self.crew(self._own.data_centre, now_s)
+
+    def is_owner(self, server_id: str, data_centre: str, now_s: float) -> bool:
+        """Whether this instance is the one that may use a cold server.
+
+        Rendezvous hashing: a change of the crew moves only the servers of
+        the instance that came or went.
+
+        Args:
+            server_id: Identity of the backend server.
+            data_centre: Data centre of the backend server.
+            now_s: Monotonic time in seconds.
+        """
+        alive = self.alive(now_s)
+        crew = self._crew_of(alive, data_centre) or alive
+        if not crew:
+            return False
+        owner = max(
+            crew,
+            key=lambda fact: _weight(fact.node, server_id),
+        )
+        return owner.node == self._own.node
+
+    def duty_order(self, now_s: float) -> int:
+        """Returns this instance's place in line for singular duties, from 0.
+
+        The line runs against the ranks of the crews, so that an instance
+        without traffic holds the duties where there is one.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        own = _rank(self._own.node)
+        return sum(_rank(fact.node) > own for fact in self.alive(now_s))
+
+    def _crew_of(
+        self, alive: list[PeerFact], data_centre: str
+    ) -> list[PeerFact]:
+        local = [fact for fact in alive if fact.data_centre == data_centre]
+        return local[: self._crew_size]
+
+
+def _is_heard(member: _Member, now_s: float) -> bool:
+    limit_s = CREW_SILENCE_S if member.fact.beats_often else MEMBER_SILENCE_S
+    return now_s - member.heard_s <= limit_s
