Rate backend servers by reports of this moment only

Cause: answers of 1.3 s came from servers that had reported full speed up to 200 ms before; neighbours change their speed every 150 ms. Ruled out: the pace estimate (geometric mean changed nothing alone).

--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -37,6 +37,9 @@
 _SHARED_REPORT_S = 0.006
 """Age up to which a report serves several requests."""
 
+_SEARCH_S = 0.1
+"""Age up to which a report of the same search is used."""
+
 _STALE_REPORT_S = 0.2
 """Age up to which a report is used where no health request may be sent."""
 
@@ -219,7 +222,7 @@
         usable = [
             (rating.order, index, backend)
             for index, backend in enumerate(candidates)
-            if (rating := self._rating(need, backend)) is not None
+            if (rating := self._rating(need, backend, _SEARCH_S)) is not None
             and rating.fit <= placement.Fit.SLOW
         ]
         for _, _, backend in sorted(usable):
@@ -283,20 +286,30 @@
         good = [
             (rating.order, index, backend)
             for index, backend in enumerate(asked)
-            if (rating := self._rating(need, backend)) is not None
+            if (rating := self._rating(need, backend, _SHARED_REPORT_S))
+            is not None
             and rating.fit is placement.Fit.GOOD
         ]
         return min(good)[2] if good else None
 
     def _rating(
-        self, need: Need, backend: backend_table.Backend
+        self, need: Need, backend: backend_table.Backend, max_age_s: float
     ) -> placement.Rating | None:
-        """Rates a server by a report of this moment; None without one."""
+        """Rates a server by a recent report; None without one.
+
+        Args:
+            need: What the request needs.
+            backend: The server.
+            max_age_s: Longest age of the report. Where no health request
+                may be sent, an older one has to do.
+        """
         now_s = self._clock()
         report = backend.report
         if report is None or backend.health.is_silent(now_s):
             return None
-        if now_s - backend.report_s > _STALE_REPORT_S:
+        if not backend.probes.has_token(now_s):
+            max_age_s = _STALE_REPORT_S
+        if now_s - backend.report_s > max_age_s:
             return None
         if backend.is_cold(now_s) and not self._may_use_cold(backend, now_s):
             return None
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -384,6 +384,8 @@
         if dispatch.verdict is Verdict.ANSWERED:
             state.crashes.on_answered(job.fingerprint)
             self._learn_pace(backend, duration_s, slowdown)
+            if duration_s > job.rule.target_latency_s:
+                self._log_late(backend, duration_s, slowdown)
             state.on_work(job.rule, duration_s / max(slowdown, 1.0))
             return
         if (
@@ -401,6 +403,23 @@
             route=job.rule.name,
         )
 
+    def _log_late(
+        self,
+        backend: backend_table.Backend,
+        duration_s: float,
+        slowdown: float,
+    ) -> None:
+        self._state.log.request(
+            "answer late",
+            self._job.request_id,
+            server=backend.entry.server_id,
+            route=self._job.rule.name,
+            duration_s=round(duration_s, 4),
+            slowdown=slowdown,
+            in_flight=backend.in_flight,
+            pace=round(backend.health.pace, 2),
+        )
+
     def _learn_pace(
         self, backend: backend_table.Backend, duration_s: float, slowdown: float
     ) -> None:
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -32,7 +32,7 @@
 
 A third of the shortest bound on leaving servers and configurations (2 s)."""
 
-STEP_IN_S = 0.35
+STEP_IN_S = 0.5
 """Further wait of each next instance in line before it reads itself."""
 
 MAX_STEPS = 4
@@ -205,31 +205,37 @@
 
     async def _read(self) -> None:
         before = (self._view.operators.mark, self._view.servers.mark)
-        if not (self._is_behind() and await self._read_peer(is_local=True)):
+        if not (self._is_behind() and await self._read_peer()):
             is_read = await self._read_store()
             if not is_read:
-                await self._read_peer(is_local=False)
+                await self._read_peer()
         if before != (self._view.operators.mark, self._view.servers.mark):
             self._on_news()
         self._take_proofs()
 
-    async def _read_peer(self, *, is_local: bool) -> bool:
+    async def _read_peer(self) -> bool:
         """Fetches what is missing from the best instance; True if it had it.
 
-        Args:
-            is_local: Whether only the own data centre is asked.
+        Of those that know all, one in the own data centre is preferred.
         """
         own = self._roster.own
         now_s = self._clock()
         known = [
             marks
             for marks in self._marks.values()
-            if (not is_local or marks.data_centre == own.data_centre)
-            and now_s - marks.verified_s < FRESH_S
+            if now_s - marks.verified_s < FRESH_S
         ]
         if not known:
             return False
-        best = max(known, key=lambda marks: marks.verified_s)
+        best = max(
+            known,
+            key=lambda marks: (
+                marks.operators,
+                marks.servers,
+                marks.data_centre == own.data_centre,
+                marks.verified_s,
+            ),
+        )
         view = self._view
         found = await self._peers.fetch(
             best.ip, view.operators.seen, view.servers.seen
--- a/packages/policy/src/magnoliacrank/policy/backend_health.py
+++ b/packages/policy/src/magnoliacrank/policy/backend_health.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 _BLOCKING_FAILURES = 2
 """Failures in a row after which a server is avoided."""
@@ -51,12 +52,15 @@
         self._blocked_until_s = 0.0
         self._silences = 0
         self._silent_until_s = 0.0
-        self._pace = 1.0
+        self._log_pace = 0.0
 
     @property
     def pace(self) -> float:
-        """Smoothed duration of its work against what it promised."""
-        return self._pace
+        """Smoothed duration of its work against what it promised.
+
+        The geometric mean, so that a few long requests don't count as slow.
+        """
+        return math.exp(self._log_pace)
 
     def is_blocked(self, now_s: float) -> bool:
         """Whether other servers go first.
@@ -107,8 +111,8 @@
         Args:
             ratio: Duration divided by the promised one.
         """
-        bounded = min(max(ratio, 0.2), 10.0)
-        self._pace += _SMOOTHING * (bounded - self._pace)
+        bounded = min(max(ratio, 0.1), 10.0)
+        self._log_pace += _SMOOTHING * (math.log(bounded) - self._log_pace)
 
     def on_silence(self, now_s: float) -> None:
         """Counts a health request without an answer.
--- a/packages/policy/src/magnoliacrank/policy/placement.py
+++ b/packages/policy/src/magnoliacrank/policy/placement.py
@@ -17,6 +17,9 @@
 GOOD_SLOWDOWN = 1.5
 """Slowdown up to which a free server is taken without asking others."""
 
+_USUAL_PACE = 1.6
+"""Pace up to which a server counts as keeping its promise."""
+
 _NEARLY_FULL = 0.75
 """Share of running slots above which some servers slow down."""
 
@@ -81,7 +84,7 @@
     """
     if not report.is_healthy:
         return Rating(Fit.UNFIT, 1.0)
-    cost = report.slowdown * max(pace, 1.0)
+    cost = report.slowdown * max(pace / _USUAL_PACE, 1.0)
     if is_remote:
         cost *= _REMOTE_COST + _REMOTE_COST_PER_MB * body_bytes / 1e6
     if not report.tells_load:
