Size crews by servers; explain requests; check settings

Cause: a crew of two would not carry a site of hundreds of servers, a clock set back before a restart would silence an instance, and a killed crew was named by directories for a second. Change: crew size follows the registered servers, which all instances know; crew silence 1.0 -> 0.7 s at five heartbeats a second; commands explain and check-settings.

--- a/packages/cli/src/magnoliacrank/cli/main.py
+++ b/packages/cli/src/magnoliacrank/cli/main.py
@@ -41,6 +41,14 @@
     _CommandEntry(
         "instance", "instance", "run an entry instance on the users' platform"
     ),
+    _CommandEntry(
+        "check-settings",
+        "check_settings",
+        "check a settings file of the platform",
+    ),
+    _CommandEntry(
+        "explain", "explain", "print the story of a request from log lines"
+    ),
     _CommandEntry("check", "check", "validate the two lists offline"),
     _CommandEntry("publish", "publish", "put the two lists into force"),
     _CommandEntry("watch", "watch", "print notices as they come"),
--- /dev/null
+++ b/packages/cli/tests/test_explain.py
@@ -0,0 +1,53 @@
+"""Tests of the commands for operators of the platform."""
+
+import argparse
+
+import pytest
+
+from magnoliacrank.cli import check_settings
+from magnoliacrank.cli import explain
+
+LINES = [
+    '{"time": "2", "instance": "b", "event": "request refused", '
+    '"request_id": "r1", "status": 503, "reason": "overloaded"}',
+    '  0.5 front-1 {"time": "1", "instance": "a", "event": "dispatch failed",'
+    ' "request_id": "r1", "verdict": "not-run"}',
+    '{"time": "1", "instance": "a", "event": "x", "request_id": "r2"}',
+    '{"instance": "a", "event": "log lines left out", "total": 7}',
+    "not a log line",
+    "{broken",
+    "",
+]
+
+
+def test_story_is_in_order_across_instances():
+    story = explain.read_story(LINES, "r1")
+    events = [line["event"] for line in story.lines]
+    assert events == ["dispatch failed", "request refused"]
+    text = "\n".join(explain.format_story(story))
+    assert "reason=overloaded" in text
+    assert "a left out 7 lines" in text
+    assert "unreadable lines: 2" in text
+
+
+def test_unknown_request_says_what_may_be_missing():
+    story = explain.read_story(LINES, "r9")
+    text = "\n".join(explain.format_story(story))
+    assert "no line names this request" in text
+    assert "one in 64" in text
+
+
+@pytest.mark.parametrize(
+    ("content", "code"), [("node: 1\n", 2), ("[", 2), (None, 2)]
+)
+def test_bad_settings_are_one_line_and_exit_code_2(
+    tmp_path, capsys, content, code
+):
+    path = tmp_path / "node.yaml"
+    if content is not None:
+        path.write_text(content)
+    arguments = argparse.Namespace(file=str(path))
+    assert check_settings.run(arguments) == code
+    error = capsys.readouterr().err
+    assert error.count("\n") == 1
+    assert str(path) in error
--- a/packages/entry/src/magnoliacrank/entry/backend_table.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_table.py
@@ -22,6 +22,10 @@
 PROBE_TIMEOUT_S = 0.25
 """Longest time for a health request; beyond it the server is silent."""
 
+_PROBE_BURST_S = 2.0
+"""Seconds' worth of health requests that may be sent at once; the operators'
+bound holds over the day."""
+
 _MAX_SENT_TIMES = 32
 """Times of dispatches that are kept for a server."""
 
@@ -85,14 +89,15 @@
     Args:
         log: Where silence is logged.
         clock: Seconds.
-        probes_per_s: Health requests a second to one server.
+        probes_per_s: Returns the health requests a second that one server
+            may get from this instance.
     """
 
     def __init__(
         self,
         log: event_log.EventLog,
         clock: Callable[[], float],
-        probes_per_s: float,
+        probes_per_s: Callable[[], float],
     ) -> None:
         self._log = log
         self._clock = clock
@@ -116,6 +121,7 @@
         """Returns what is known of a server."""
         backend = self._backends.get(entry.server_id)
         if backend is None:
+            probes_per_s = self._probes_per_s()
             backend = Backend(
                 entry=entry,
                 link=backend_link.BackendLink(
@@ -123,7 +129,7 @@
                 ),
                 health=backend_health.BackendHealth(),
                 probes=rate_bucket.RateBucket(
-                    self._probes_per_s, self._probes_per_s
+                    probes_per_s, _PROBE_BURST_S * probes_per_s
                 ),
                 cold_until_s=self._cold_until_s(entry),
             )
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -80,9 +80,8 @@
         self._trials = trial_keeper.TrialKeeper(
             self._view, self._store, self._roster, bounds, self.log, clock
         )
-        crew = crew_roster.DEFAULT_CREW_SIZE
         self._table = backend_table.BackendTable(
-            self.log, clock, bounds.probes_per_s * _PROBE_SHARE / crew
+            self.log, clock, self._probe_rate_per_s
         )
         self._placer = placer.Placer(
             self._view,
@@ -235,10 +234,20 @@
         """Operators ordered a roll-out."""
         self._trials.on_rollout(order, offset)
 
+    def on_servers(self, counts: dict[str, int]) -> None:
+        """The registered servers of each data centre have changed."""
+        self._roster.set_servers(counts)
+
     def on_backend_gone(self, server_id: str) -> None:
         """A backend server is gone."""
         self._table.forget(server_id)
 
+    def _probe_rate_per_s(self) -> float:
+        """Health requests a second that this instance may send to a server."""
+        crew = len(self._roster.whole_crew(self._clock()))
+        bound = self._settings.bounds.probes_per_s
+        return bound * _PROBE_SHARE / max(crew, crew_roster.MIN_CREW_SIZE)
+
     def _own_fact(self, *, is_ready: bool) -> crew_roster.PeerFact:
         settings = self._settings
         beats_often = False
--- a/packages/entry/src/magnoliacrank/entry/peer_link.py
+++ b/packages/entry/src/magnoliacrank/entry/peer_link.py
@@ -15,8 +15,8 @@
     from magnoliacrank.entry import event_log
     from magnoliacrank.policy import crew_roster
 
-OFTEN_S = 0.25
-"""Interval of the crew's heartbeats; a quarter of `CREW_SILENCE_S`."""
+OFTEN_S = 0.2
+"""Interval of the crew's heartbeats; `CREW_SILENCE_S` spans three."""
 
 SELDOM_S = 1.0
 """Interval of all other heartbeats."""
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -32,6 +33,9 @@
     def on_rollout(self, order: orders.RolloutOrder, offset: int) -> None:
         """Operators ordered a roll-out."""
 
+    def on_servers(self, counts: dict[str, int]) -> None:
+        """The registered servers of each data centre have changed."""
+
     def on_backend_gone(self, server_id: str) -> None:
         """A backend server is gone, or has started anew under its identity."""
 
@@ -158,6 +162,11 @@
         for record in changed:
             self._apply_server(record)
         self._index()
+        counts = collections.Counter(
+            entry.data_centre for entry in self._entries.values()
+        )
+        for listener in self._listeners:
+            listener.on_servers(dict(counts))
 
     def _apply_configuration(self, record: store_records.KeyedRecord) -> None:
         if record.value is None:
--- a/packages/policy/src/magnoliacrank/policy/crew_roster.py
+++ b/packages/policy/src/magnoliacrank/policy/crew_roster.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import functools
+import math
 
 import attrs
 import xxhash
 
-CREW_SILENCE_S = 1.0
-"""Silence after which a member of a crew is left out; four heartbeats."""
+CREW_SILENCE_S = 0.7
+"""Silence after which a member of a crew is left out; a little over three
+heartbeats, so that two may be lost."""
 
 MEMBER_SILENCE_S = 3.5
 """Silence after which another instance is left out; three heartbeats."""
@@ -21,8 +23,13 @@
 FORGET_S = 60.0
 """Silence after which an instance is no longer sent heartbeats."""
 
-DEFAULT_CREW_SIZE = 2
-"""Instances that carry a data centre's traffic; one loss leaves one."""
+MIN_CREW_SIZE = 2
+"""Least instances that carry a data centre's traffic; one loss leaves one."""
+
+SERVERS_PER_MEMBER = 8
+"""Backend servers of a data centre for each member of its crew. An instance
+carries 100 requests a second in half of its processor, which is what about
+eight servers answer at their usual load."""
 
 
 @attrs.frozen
@@ -71,14 +78,11 @@
 
     Args:
         own: Facts about this instance.
-        crew_size: Instances that carry a data centre's traffic.
     """
 
-    def __init__(
-        self, own: PeerFact, crew_size: int = DEFAULT_CREW_SIZE
-    ) -> None:
+    def __init__(self, own: PeerFact) -> None:
         self._own = own
-        self._crew_size = crew_size
+        self._servers: dict[str, int] = {}
         self._members: dict[str, _Member] = {}
         self._addresses: dict[str, float] = {}
 
@@ -91,6 +95,20 @@
         """Replaces the facts about this instance."""
         self._own = own
 
+    def set_servers(self, counts: dict[str, int]) -> None:
+        """Sets the number of backend servers of each data centre.
+
+        All instances know the same servers, so they agree on crew sizes.
+        """
+        self._servers = counts
+
+    def crew_size(self, data_centre: str) -> int:
+        """Returns how many instances carry a data centre's traffic."""
+        needed = math.ceil(
+            self._servers.get(data_centre, 0) / SERVERS_PER_MEMBER
+        )
+        return max(needed, MIN_CREW_SIZE)
+
     def introduce(self, ip: str, now_s: float) -> None:
         """Notes an address at which an instance may listen.
 
@@ -111,7 +129,12 @@
         if fact.node == self._own.node:
             return
         known = self._members.get(fact.node)
-        if known and known.fact.incarnation > fact.incarnation:
+        if (
+            known
+            and known.fact.incarnation > fact.incarnation
+            and now_s - known.heard_s <= MEMBER_SILENCE_S
+        ):
+            # Beyond that time its clock was set back before it started anew.
             return
         self._members[fact.node] = _Member(fact, now_s)
         self._addresses[fact.ip] = now_s
@@ -215,7 +238,7 @@
         self, alive: list[PeerFact], data_centre: str
     ) -> list[PeerFact]:
         local = [fact for fact in alive if fact.data_centre == data_centre]
-        return local[: self._crew_size]
+        return local[: self.crew_size(data_centre)]
 
 
 def _is_heard(member: _Member, now_s: float) -> bool:
