Keep repeats within the budget beside the crews, and spread them

Requests that reached instances outside the crews spent the crews' part of the slack once more, while all servers refused 55 in 100 requests. Ruled out: stale load reports; health answers were of the same moment. A request that servers refused is told to come back at once.

--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -219,6 +219,7 @@
 
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
         """A new configuration is in force."""
+        self._state.highest_priority = plan.highest_priority
         limits = plan.limits
         self._front.set_limits(
             front_limits.FrontLimits(
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -59,6 +59,7 @@
         self.placer = placer
         self.trials = trials
         self.crashes = crash_register.CrashRegister()
+        self.highest_priority = 0
         self._bounds = bounds
         self._spread = spread
         self._started_s = clock()
@@ -66,9 +67,7 @@
         self._work_s: dict[str, float] = {}
         self._cursors: dict[str, split_cursor.SplitCursor] = {}
 
-    def repeat_allowance(
-        self, service: str
-    ) -> repeat_allowance.RepeatAllowance:
+    def allowance(self, service: str) -> repeat_allowance.RepeatAllowance:
         """Returns the repeats that a service may get from this instance."""
         allowance = self._allowances.get(service)
         if allowance is None:
@@ -82,6 +81,22 @@
             self._allowances[service] = allowance
         return allowance
 
+    def try_repeat(
+        self, service: str, urgency: repeat_allowance.Urgency
+    ) -> bool:
+        """Takes one repeat from the budget of a service, if it has room."""
+        now_s = self.clock()
+        crew = self.roster.whole_crew(now_s)
+        alive = self.roster.alive(now_s)
+        if self.roster.own in crew:
+            share, instances = repeat_allowance.SlackShare.CREW, len(crew)
+        else:
+            share = repeat_allowance.SlackShare.OTHER
+            instances = max(len(alive) - len(crew), 1)
+        return self.allowance(service).try_take(
+            now_s, share, instances, urgency
+        )
+
     def work_s(self, rule: route_plan.RouteRule) -> float:
         """Returns the expected work of a route at usual speed, in seconds."""
         return self._work_s.get(
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -20,6 +20,7 @@
 from magnoliacrank.model import route_plan
 from magnoliacrank.platform import request_wire
 from magnoliacrank.policy import backend_health
+from magnoliacrank.policy import repeat_allowance
 
 if TYPE_CHECKING:
     from magnoliacrank.entry import backend_table
@@ -28,6 +29,7 @@
 
 FailureKind = exchange_failure.FailureKind
 Outcome = backend_health.Outcome
+Urgency = repeat_allowance.Urgency
 
 _HEDGE_SHARE = 0.5
 """Share of the latency objective after which a safe request is also sent to
@@ -42,6 +44,11 @@
 _MAX_REFUSALS = 4
 """Servers that may refuse a request before it is given up."""
 
+_REFUSED_RETRY_S = 0.03
+"""What a caller is told after servers refused its request although they have
+room: another server will hardly be worse, and only the caller may repeat it
+without the retry budget."""
+
 _MIN_WAIT_S = 0.06
 """Least time for which a request may wait for a server."""
 
@@ -173,7 +180,7 @@
     async def carry(self) -> Result:
         """Runs the request to its end."""
         state = self._state
-        allowance = state.repeat_allowance(self._job.service)
+        allowance = state.allowance(self._job.service)
         allowance.on_request(self._clock())
         self._is_expected_new = self._draws_new_version()
         while True:
@@ -224,15 +231,12 @@
         return self._take_repeat()
 
     def _take_repeat(self) -> bool:
-        now_s = self._clock()
-        crew = len(self._state.roster.whole_crew(now_s))
-        allowance = self._state.repeat_allowance(self._job.service)
-        if allowance.try_take(now_s, crew):
-            return True
-        self._reason = "retry-budget"
-        return False
+        job = self._job
+        is_first = job.rule.priority <= self._state.highest_priority
+        urgency = Urgency.FIRST if is_first else Urgency.NORMAL
+        return self._state.try_repeat(job.service, urgency)
 
-    def _final(self, retry_after_s: float = 0.2) -> Result:
+    def _final(self, retry_after_s: float = _REFUSED_RETRY_S) -> Result:
         if self._failed is not None:
             return Result(Verdict.FAILED, self._reason, self._failed)
         if self._may_have_run:
@@ -308,14 +312,12 @@
     async def _find_second(self) -> backend_table.Backend | None:
         if self._clock() >= self._job.deadline_s:
             return None
-        crew = len(self._state.roster.whole_crew(self._clock()))
-        allowance = self._state.repeat_allowance(self._job.service)
         found = await self._state.placer.place(
             self._need(wants_new=False, may_wait=False)
         )
         if isinstance(found, placer.Rejection):
             return None
-        if not allowance.try_take(self._clock(), crew):
+        if not self._state.try_repeat(self._job.service, Urgency.HEDGE):
             self._state.placer.on_finished(found)
             return None
         return found
--- a/packages/model/src/magnoliacrank/model/route_plan.py
+++ b/packages/model/src/magnoliacrank/model/route_plan.py
@@ -115,6 +115,16 @@
     limits: CallerLimits
     """Limits on callers."""
 
+    @property
+    def highest_priority(self) -> int:
+        """Rank of the most urgent routes."""
+        ranks = [
+            rule.priority
+            for rules in self.routes.values()
+            for rule in rules.values()
+        ]
+        return min(ranks, default=0)
+
     def find_route(self, host: str, path: str) -> RouteRule | None:
         """Returns the route with the longest prefix that begins a path.
 
