--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -6,7 +6,6 @@
 
 from magnoliacrank.model import backend_entry
 from magnoliacrank.model import orders
-from magnoliacrank.model import route_plan
 from magnoliacrank.policy import backend_health
 from magnoliacrank.policy import crash_register
 from magnoliacrank.policy import drain_estimate
@@ -14,7 +13,6 @@
 from magnoliacrank.policy import placement
 from magnoliacrank.policy import rate_bucket
 from magnoliacrank.policy import repeat_allowance
-from magnoliacrank.policy import split_cursor
 from magnoliacrank.policy import version_choice
 from magnoliacrank.policy import version_trial
 
