Judge versions by failures beyond chance; wait for a server at full speed

Ruled out: lost evidence; all instances had the same counts. Change: failures beyond 3 standard deviations; requests on trial don't wait in line; a slow server is taken only if the answer is still in time or the wait is over; callers refused on overload stay away for 0.45 to 0.9 s.

--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -103,6 +103,17 @@
     wants_new: bool
     """Whether it goes to the version on trial, if that has room."""
 
+    work_s: float
+    """Expected work at usual speed, in seconds."""
+
+    objective_s: float
+    """Clock time by which its answer is in time."""
+
+    @property
+    def may_wait(self) -> bool:
+        """Whether it waits in line; else it is placed now or not at all."""
+        return self.give_up_s > self.arrived_s
+
 
 class Placer:
     """Chooses servers by asking a few of them for their load.
@@ -151,10 +162,12 @@
         line = self.line(need.service)
         if not self._candidates(need):
             return Rejection(NotPlaced.NO_SERVER, self._no_server_retry_s())
-        if not line.length:
+        if not line.length or not need.may_wait:
             backend = await self._find(need)
             if backend is not None:
                 return self._placed(need, backend)
+            if not need.may_wait:
+                return self._overloaded(need.service)
         drain = self._drain(need.service)
         now_s = self._clock()
         wait_s = drain.wait_s(line.length, now_s)
@@ -223,13 +236,25 @@
             (rating.order, index, backend)
             for index, backend in enumerate(candidates)
             if (rating := self._rating(need, backend, _SEARCH_S)) is not None
-            and rating.fit <= placement.Fit.SLOW
+            and self._is_acceptable(need, rating)
         ]
         for _, _, backend in sorted(usable):
             if self._try_take(backend):
                 return backend
         return None
 
+    def _is_acceptable(self, need: Need, rating: placement.Rating) -> bool:
+        """Whether a free but slow server is better than waiting for a good.
+
+        Slowdowns by neighbours are short, and a request that began on a slow
+        server keeps its slot for long.
+        """
+        if rating.fit > placement.Fit.SLOW:
+            return False
+        now_s = self._clock()
+        end_s = now_s + need.work_s * rating.cost
+        return end_s <= need.objective_s or now_s + _POLL_S > need.give_up_s
+
     async def _ask(
         self,
         need: Need,
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -279,10 +279,12 @@
             service=job.service,
             priority=job.rule.priority,
             arrived_s=job.arrived_s,
-            give_up_s=give_up_s if may_wait else now_s,
+            give_up_s=give_up_s if may_wait else job.arrived_s,
             body_bytes=len(job.body),
             excluded=frozenset(self._tried),
             wants_new=wants_new,
+            work_s=work_s,
+            objective_s=job.arrived_s + job.rule.target_latency_s,
         )
 
     async def _dispatch_hedged(
@@ -312,6 +314,9 @@
     async def _find_second(self) -> backend_table.Backend | None:
         if self._clock() >= self._job.deadline_s:
             return None
+        if self._state.placer.line(self._job.service).length:
+            # Requests that no server has yet go first.
+            return None
         found = await self._state.placer.place(
             self._need(wants_new=False, may_wait=False)
         )
--- a/packages/policy/src/magnoliacrank/policy/drain_estimate.py
+++ b/packages/policy/src/magnoliacrank/policy/drain_estimate.py
@@ -19,8 +19,9 @@
 _MIN_RATE_PER_S = 2.0
 """Rate that is assumed where nothing was dispatched lately."""
 
-_MIN_RETRY_AFTER_S = 0.1
-"""Least time that a caller is told to stay away."""
+_MIN_RETRY_AFTER_S = 0.6
+"""Least time that a caller is told to stay away on overload, before it is
+spread; one that comes back sooner meets the same queue."""
 
 _MAX_RETRY_AFTER_S = 2.0
 """Longest time that a caller is told to stay away."""
@@ -69,6 +70,5 @@
             now_s: Monotonic time in seconds.
             spread: Randomness, so that callers do not return together.
         """
-        wait_s = self.wait_s(ahead, now_s)
-        chosen_s = wait_s * spread.uniform(0.75, 1.5)
-        return min(max(chosen_s, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
+        wait_s = max(self.wait_s(ahead, now_s), _MIN_RETRY_AFTER_S)
+        return min(wait_s * spread.uniform(0.75, 1.5), _MAX_RETRY_AFTER_S)
--- a/packages/policy/src/magnoliacrank/policy/version_trial.py
+++ b/packages/policy/src/magnoliacrank/policy/version_trial.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -34,17 +35,18 @@
 _MIN_EVIDENCE = 8
 """Answers of the new version without which it does not take over."""
 
-_MIN_FAILURES = 3
+_MIN_FAILURES = 4
 """Failures without which a version is not held to be bad."""
 
-_FAILURE_SHARE = 0.15
-"""Share of failures above the old version's at which a version is bad."""
+_DEVIATIONS = 3.0
+"""Standard deviations of the old version's failures by which the new one's
+exceed what is expected of a version as good as the old one."""
 
-_MIN_ROUTE_FAILURES = 3
-"""The same for one route alone."""
+_ROUTE_DEVIATIONS = 3.5
+"""The same for one route; there are several, so chance has more tries."""
 
-_ROUTE_FAILURE_SHARE = 0.25
-"""The same for one route alone."""
+_LEAST_SHARE = 0.01
+"""Share of failures that any version is granted."""
 
 _MIN_DURATIONS = 5
 """Answers of each version without which durations are not compared."""
@@ -123,18 +125,22 @@
     return total
 
 
-def is_faulty(pair: EvidencePair, min_failures: int, share: float) -> bool:
+def is_faulty(pair: EvidencePair, deviations: float) -> bool:
     """Whether evidence shows that the new version is bad.
 
+    A bad version that takes over costs far more than a good one that is taken
+    back, so the test is sensitive: failures beyond chance are enough.
+
     Args:
         pair: Evidence of both versions.
-        min_failures: Failures that are needed.
-        share: Share of failures beyond the old version's.
+        deviations: Standard deviations beyond which it is not chance.
     """
     old, new = pair.old, pair.new
-    if new.failures >= min_failures:
-        limit = share + 2 * old.failure_share
-        if new.failure_share > min(limit, 0.9):
+    if new.failures >= _MIN_FAILURES:
+        share = max(old.failure_share, _LEAST_SHARE)
+        expected = share * new.answers
+        deviation = math.sqrt(expected * (1 - min(share, 0.9)))
+        if new.failures > expected + deviations * deviation:
             return True
     if min(old.successes, new.successes) < _MIN_DURATIONS:
         return False
@@ -297,9 +303,8 @@
     def _shows_fault(self) -> bool:
         routes = self.by_route()
         total = sum_up(routes.values())
-        if is_faulty(total, _MIN_FAILURES, _FAILURE_SHARE):
+        if is_faulty(total, _DEVIATIONS):
             return True
         return any(
-            is_faulty(pair, _MIN_ROUTE_FAILURES, _ROUTE_FAILURE_SHARE)
-            for pair in routes.values()
+            is_faulty(pair, _ROUTE_DEVIATIONS) for pair in routes.values()
         )
--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -319,6 +319,26 @@
     assert trial.phase(10.45) is version_trial.TrialPhase.READY
 
 
+@pytest.mark.parametrize(
+    ("old", "new", "is_faulty"),
+    [
+        # Found by a hunt (hunt-6124-7 on cirelis-routes): taken for good.
+        ((1004, 45), (125, 26), True),
+        ((1004, 45), (125, 7), False),
+        ((1000, 4), (60, 2), False),
+        ((1000, 4), (60, 5), True),
+        ((200, 60), (20, 8), False),
+        ((0, 0), (6, 4), True),
+    ],
+)
+def test_failures_beyond_chance_are_a_fault(old, new, is_faulty):
+    pair = version_trial.EvidencePair(
+        version_trial.Evidence(*old, 0.1 * (old[0] - old[1])),
+        version_trial.Evidence(*new, 0.1 * (new[0] - new[1])),
+    )
+    assert version_trial.is_faulty(pair, 3.0) is is_faulty
+
+
 def test_version_without_evidence_does_not_take_over():
     trial = _trial()
     assert trial.phase(11.9) is version_trial.TrialPhase.TRYING
