Learn how servers slow down when nearly full; keep slots for answers in time

Change: with others waiting a request is not sent where it can't be in time; the last slot is used only where it adds answers, by a learned factor.

--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -10,6 +10,7 @@
 
 from magnoliacrank.entry import owned_task
 from magnoliacrank.entry import wait_line
+from magnoliacrank.policy import crowding
 from magnoliacrank.policy import drain_estimate
 from magnoliacrank.policy import placement
 from magnoliacrank.policy import rate_bucket
@@ -146,6 +147,7 @@
         self._clock = clock
         self._spread = spread
         self._lines: dict[str, wait_line.WaitLine] = {}
+        self._crowding: dict[str, crowding.Crowding] = {}
         self._drains: dict[str, drain_estimate.DrainEstimate] = {}
         self._asking: dict[str, asyncio.Task[None]] = {}
 
@@ -153,6 +155,10 @@
         """Returns the requests of a service that wait."""
         return self._lines.setdefault(service, wait_line.WaitLine())
 
+    def crowding_of(self, service: str) -> crowding.Crowding:
+        """Returns how a service's servers slow down when nearly full."""
+        return self._crowding.setdefault(service, crowding.Crowding())
+
     async def place(self, need: Need) -> backend_table.Backend | Rejection:
         """Finds a server, or says why there is none.
 
@@ -247,13 +253,17 @@
         """Whether a free but slow server is better than waiting for a good.
 
         Slowdowns by neighbours are short, and a request that began on a slow
-        server keeps its slot for long.
+        server keeps its slot for long: with others waiting, one late answer
+        would cost several that are in time.
         """
         if rating.fit > placement.Fit.SLOW:
             return False
         now_s = self._clock()
         end_s = now_s + need.work_s * rating.cost
-        return end_s <= need.objective_s or now_s + _POLL_S > need.give_up_s
+        if end_s <= need.objective_s:
+            return True
+        is_alone = self.line(need.service).length <= 1
+        return is_alone and now_s + _POLL_S > need.give_up_s
 
     async def _ask(
         self,
@@ -342,6 +352,7 @@
             report,
             backend.sent_since_report,
             backend.health.pace,
+            self.crowding_of(need.service).factor,
             is_remote=backend.entry.data_centre != self._data_centre,
             body_bytes=need.body_bytes,
         )
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -342,7 +342,9 @@
         if trial is not None and is_new:
             trial.on_sent()
         outcome: backend_link.WholeAnswer | exchange_failure.ExchangeFailure
-        slowdown = backend.report.slowdown if backend.report else 1.0
+        report = backend.report
+        slowdown = report.slowdown if report else 1.0
+        busy = report.running + backend.sent_since_report if report else 0
         try:
             outcome = await backend.link.exchange(
                 self._sendable(backend),
@@ -350,7 +352,7 @@
             )
         except asyncio.CancelledError:
             # Another server was faster, or the caller left.
-            self._learn_pace(backend, self._clock() - sent_s, slowdown)
+            self._learn_pace(backend, self._clock() - sent_s, slowdown, busy)
             raise
         finally:
             state.placer.on_finished(backend)
@@ -358,7 +360,7 @@
         if dispatch.verdict is Verdict.NOT_RUN:
             self._runs -= 1
         duration_s = self._clock() - sent_s
-        self._learn(backend, dispatch, duration_s, slowdown, outcome)
+        self._learn(backend, dispatch, duration_s, slowdown, busy, outcome)
         if trial is not None and dispatch.verdict is not Verdict.NOT_RUN:
             _teach(trial, job.rule.name, dispatch, duration_s, is_new=is_new)
             if is_new and dispatch.verdict is not Verdict.ANSWERED:
@@ -387,6 +389,7 @@
         dispatch: Dispatch,
         duration_s: float,
         slowdown: float,
+        busy: int,
         outcome: backend_link.WholeAnswer | exchange_failure.ExchangeFailure,
     ) -> None:
         state = self._state
@@ -395,7 +398,7 @@
         backend.health.on_outcome(_OUTCOMES[dispatch.verdict], now_s)
         if dispatch.verdict is Verdict.ANSWERED:
             state.crashes.on_answered(job.fingerprint)
-            self._learn_pace(backend, duration_s, slowdown)
+            self._learn_pace(backend, duration_s, slowdown, busy)
             if duration_s > job.rule.target_latency_s:
                 self._log_late(backend, duration_s, slowdown)
             state.on_work(job.rule, duration_s / max(slowdown, 1.0))
@@ -433,10 +436,17 @@
         )
 
     def _learn_pace(
-        self, backend: backend_table.Backend, duration_s: float, slowdown: float
+        self,
+        backend: backend_table.Backend,
+        duration_s: float,
+        slowdown: float,
+        busy: int,
     ) -> None:
         expected_s = self._state.work_s(self._job.rule) * slowdown
-        backend.health.on_duration(duration_s / max(expected_s, 1e-3))
+        ratio = duration_s / max(expected_s, 1e-3)
+        backend.health.on_duration(ratio)
+        crowding = self._state.placer.crowding_of(self._job.service)
+        crowding.on_duration(busy, backend.entry.slots, ratio)
 
 
 _OUTCOMES = {
--- a/packages/policy/src/magnoliacrank/policy/placement.py
+++ b/packages/policy/src/magnoliacrank/policy/placement.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from magnoliacrank.policy import crowding
+
 if TYPE_CHECKING:
     from magnoliacrank.model import backend_entry
 
@@ -20,11 +22,8 @@
 _USUAL_PACE = 1.6
 """Pace up to which a server counts as keeping its promise."""
 
-_NEARLY_FULL = 0.75
-"""Share of running slots above which some servers slow down."""
-
-_NEARLY_FULL_COST = 1.5
-"""Cost factor of a server that is nearly full."""
+_UNKNOWN_CROWDING = 1.2
+"""Cost factor of a nearly full server where no slowdown is known."""
 
 _REMOTE_COST = 1.1
 """Cost factor of a server in another data centre."""
@@ -69,6 +68,7 @@
     report: backend_entry.LoadReport,
     sent_since: int,
     pace: float,
+    crowding_factor: float,
     *,
     is_remote: bool,
     body_bytes: int,
@@ -79,6 +79,7 @@
         report: What it said.
         sent_since: Requests sent to it since, by this instance.
         pace: Duration of its work against what it promises.
+        crowding_factor: Duration at nearly full servers against others.
         is_remote: Whether it stands in another data centre.
         body_bytes: Size of the request's body.
     """
@@ -92,8 +93,10 @@
     busy = report.running + report.waiting + sent_since
     if busy >= report.slots:
         return Rating(Fit.FULL, cost * (1 + (busy + 1) / report.slots))
-    if (busy + 1) / report.slots > _NEARLY_FULL:
-        cost *= _NEARLY_FULL_COST
+    if crowding.is_nearly_full(busy + 1, report.slots):
+        if not crowding.is_last_slot_worth_using(report.slots, crowding_factor):
+            return Rating(Fit.FULL, cost * crowding_factor)
+        cost *= max(crowding_factor, _UNKNOWN_CROWDING)
     if cost <= GOOD_SLOWDOWN:
         return Rating(Fit.GOOD, cost)
     return Rating(Fit.SLOW, cost)
--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -8,6 +8,7 @@
 from magnoliacrank.model import orders
 from magnoliacrank.policy import backend_health
 from magnoliacrank.policy import crash_register
+from magnoliacrank.policy import crowding
 from magnoliacrank.policy import drain_estimate
 from magnoliacrank.policy import lapsed_entries
 from magnoliacrank.policy import placement
@@ -47,20 +48,44 @@
     ],
 )
 def test_server_is_rated_by_room_and_speed(report, sent, fit):
-    rating = placement.rate(report, sent, 1.0, is_remote=False, body_bytes=0)
+    rating = placement.rate(
+        report, sent, 1.0, 1.0, is_remote=False, body_bytes=0
+    )
     assert rating.fit is fit
 
 
 def test_large_body_stays_in_its_data_centre():
     ratings = [
         placement.rate(
-            _report(), 0, 1.0, is_remote=is_remote, body_bytes=100_000
+            _report(), 0, 1.0, 1.0, is_remote=is_remote, body_bytes=100_000
         )
         for is_remote in (False, True)
     ]
     assert ratings[0].order < ratings[1].order
 
 
+@pytest.mark.parametrize(
+    ("slots", "factor", "fit"),
+    [(4, 1.0, Fit.GOOD), (4, 1.7, Fit.FULL), (2, 1.7, Fit.SLOW)],
+)
+def test_last_slot_is_used_where_it_adds_answers(slots, factor, fit):
+    report = _report(running=slots - 1, slots=slots)
+    rating = placement.rate(
+        report, 0, 1.0, factor, is_remote=False, body_bytes=0
+    )
+    assert rating.fit is fit
+
+
+def test_slowdown_of_nearly_full_servers_is_learned():
+    found = crowding.Crowding()
+    generator = random.Random(5)
+    for step in range(200):
+        busy = step % 4 + 1
+        noise = generator.uniform(0.7, 1.4)
+        found.on_duration(busy, 4, noise * (1.7 if busy == 4 else 1.0))
+    assert 1.4 < found.factor < 2.0
+
+
 def test_cold_server_is_bounded_over_every_second():
     bucket = rate_bucket.RateBucket(4.0, 1.0)
     taken = [n / 100 for n in range(500) if bucket.try_take(n / 100)]
