Split the request path: job, dispatch, dispatcher, need

Also: two dispatches of one request are combined by what is certain; before, a refusal elsewhere could make a request that may have run "not run" (test_refusal_elsewhere_does_not_make_a_request_not_run).

--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -0,0 +1,185 @@
+"""Dispatcher: sends a request to one server, and learns from the end of it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from magnoliacrank.entry import backend_link
+from magnoliacrank.entry import dispatch as dispatches
+from magnoliacrank.gateway import exchange_failure
+from magnoliacrank.gateway import outbound_head
+from magnoliacrank.platform import request_wire
+from magnoliacrank.policy import backend_health
+
+if TYPE_CHECKING:
+    from magnoliacrank.entry import backend_table
+    from magnoliacrank.entry import entry_state
+    from magnoliacrank.entry import job as jobs
+    from magnoliacrank.policy import version_trial
+
+    Exchanged = backend_link.WholeAnswer | exchange_failure.ExchangeFailure
+
+FailureKind = exchange_failure.FailureKind
+Outcome = backend_health.Outcome
+Verdict = dispatches.Verdict
+
+_ANSWER_GRACE_S = 0.05
+"""Time beyond the deadline in which an answer that is ready is still taken."""
+
+_CRASHES = frozenset({FailureKind.CONNECTION_LOST})
+"""Failures that may mean that a request crashed its server."""
+
+_OUTCOMES = {
+    Verdict.ANSWERED: Outcome.SUCCEEDED,
+    Verdict.FAILED: Outcome.FAILED,
+    Verdict.NOT_RUN: Outcome.REFUSED,
+    Verdict.MAY_HAVE_RUN: Outcome.FAILED,
+}
+
+
+class Dispatcher:
+    """Sends one request to servers, one or two at a time.
+
+    Args:
+        state: Parts of the instance that requests share.
+        job: The request.
+    """
+
+    def __init__(self, state: entry_state.EntryState, job: jobs.Job) -> None:
+        self._state = state
+        self._job = job
+        self._clock = state.clock
+
+    async def send(self, backend: backend_table.Backend) -> dispatches.Dispatch:
+        """Sends the request to one server."""
+        state = self._state
+        job = self._job
+        entry = backend.entry
+        sent_s = self._clock()
+        trial = state.trials.trial(job.service)
+        is_new = trial is not None and (
+            entry.version == trial.order.target_version
+        )
+        if trial is not None and is_new:
+            trial.on_sent()
+        outcome: Exchanged
+        report = backend.report
+        slowdown = report.slowdown if report else 1.0
+        busy = report.running + backend.sent_since_report if report else 0
+        try:
+            outcome = await backend.link.exchange(
+                self._sendable(backend),
+                job.deadline_s - sent_s + _ANSWER_GRACE_S,
+            )
+        except asyncio.CancelledError:
+            # Another server was faster, or the caller left.
+            self._learn_pace(backend, self._clock() - sent_s, slowdown, busy)
+            raise
+        finally:
+            state.placer.on_finished(backend)
+        dispatch = dispatches.judge(outcome)
+        duration_s = self._clock() - sent_s
+        self._learn(backend, dispatch, duration_s, slowdown, busy, outcome)
+        if trial is not None and dispatch.verdict is not Verdict.NOT_RUN:
+            _teach(trial, job.rule.name, dispatch, duration_s, is_new=is_new)
+            if is_new and dispatch.verdict is not Verdict.ANSWERED:
+                state.trials.on_failure()
+        return dispatch
+
+    def _sendable(
+        self, backend: backend_table.Backend
+    ) -> backend_link.Sendable:
+        job = self._job
+        left_s = job.deadline_s - self._clock()
+        headers = [
+            *job.headers,
+            (request_wire.DEADLINE, request_wire.format_deadline(left_s)),
+            (request_wire.TARGET, backend.entry.server_id),
+        ]
+        return backend_link.Sendable(
+            outbound_head.OutboundHead(job.method, job.target, headers),
+            job.body,
+            job.request_id,
+        )
+
+    def _learn(
+        self,
+        backend: backend_table.Backend,
+        dispatch: dispatches.Dispatch,
+        duration_s: float,
+        slowdown: float,
+        busy: int,
+        outcome: Exchanged,
+    ) -> None:
+        state = self._state
+        job = self._job
+        now_s = self._clock()
+        backend.health.on_outcome(_OUTCOMES[dispatch.verdict], now_s)
+        if dispatch.verdict is Verdict.ANSWERED:
+            state.crashes.on_answered(job.fingerprint)
+            self._learn_pace(backend, duration_s, slowdown, busy)
+            if duration_s > job.rule.target_latency_s:
+                self._log_late(backend, duration_s, slowdown)
+            state.on_work(job.rule, duration_s / max(slowdown, 1.0))
+            return
+        if (
+            isinstance(outcome, exchange_failure.ExchangeFailure)
+            and outcome.kind in _CRASHES
+        ):
+            state.crashes.on_crash(job.fingerprint, now_s)
+        state.log.request(
+            "dispatch failed",
+            job.request_id,
+            server=backend.entry.server_id,
+            verdict=dispatch.verdict.value,
+            reason=dispatch.reason,
+            duration_s=round(duration_s, 4),
+            route=job.rule.name,
+        )
+
+    def _log_late(
+        self,
+        backend: backend_table.Backend,
+        duration_s: float,
+        slowdown: float,
+    ) -> None:
+        self._state.log.request(
+            "answer late",
+            self._job.request_id,
+            server=backend.entry.server_id,
+            route=self._job.rule.name,
+            duration_s=round(duration_s, 4),
+            slowdown=slowdown,
+            in_flight=backend.in_flight,
+            pace=round(backend.health.pace, 2),
+        )
+
+    def _learn_pace(
+        self,
+        backend: backend_table.Backend,
+        duration_s: float,
+        slowdown: float,
+        busy: int,
+    ) -> None:
+        expected_s = self._state.work_s(self._job.rule) * slowdown
+        ratio = duration_s / max(expected_s, 1e-3)
+        backend.health.on_duration(ratio)
+        crowding = self._state.placer.crowding_of(self._job.service)
+        crowding.on_duration(busy, backend.entry.slots, ratio)
+
+
+def _teach(
+    trial: version_trial.VersionTrial,
+    route: str,
+    dispatch: dispatches.Dispatch,
+    duration_s: float,
+    *,
+    is_new: bool,
+) -> None:
+    trial.on_answer(
+        route,
+        is_new=is_new,
+        failed=dispatch.verdict is not Verdict.ANSWERED,
+        duration_s=duration_s,
+    )
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -10,6 +10,8 @@
 import msgspec
 import xxhash
 
+from magnoliacrank.entry import dispatch as dispatches
+from magnoliacrank.entry import job as jobs
 from magnoliacrank.entry import request_carrier
 from magnoliacrank.gateway import body as bodies
 from magnoliacrank.gateway import framing
@@ -22,7 +24,7 @@
     from magnoliacrank.gateway import inbound_exchange
     from magnoliacrank.model import route_plan
 
-Verdict = request_carrier.Verdict
+Verdict = dispatches.Verdict
 
 _BODY_MEMORY_BYTES = 96 << 20
 """Bytes of bodies that are held at once; a third of an instance's memory."""
@@ -142,14 +144,14 @@
         rule: route_plan.RouteRule,
         body: bytes,
         arrived_s: float,
-    ) -> request_carrier.Job:
+    ) -> jobs.Job:
         headers = exchange.headers
         patience_s = request_wire.read_deadline_s(headers)
         if patience_s is None or patience_s > rule.timeout_s:
             patience_s = rule.timeout_s
         digest = xxhash.xxh64(f"{exchange.method} {exchange.target}\n".encode())
         digest.update(body)
-        return request_carrier.Job(
+        return jobs.Job(
             request_id=headers.get(request_wire.REQUEST_ID, ""),
             rule=rule,
             service=self._state.choose_service(rule),
@@ -166,7 +168,7 @@
         self,
         exchange: inbound_exchange.InboundExchange,
         carrier: request_carrier.RequestCarrier,
-        job: request_carrier.Job,
+        job: jobs.Job,
     ) -> request_carrier.Result | None:
         """Carries a request; None if its caller left before the end.
 
@@ -195,7 +197,7 @@
     async def _answer(
         self,
         exchange: inbound_exchange.InboundExchange,
-        job: request_carrier.Job,
+        job: jobs.Job,
         result: request_carrier.Result,
     ) -> None:
         answer = result.answer
@@ -261,7 +263,7 @@
 
 
 def _to_refusal(
-    result: request_carrier.Result, job: request_carrier.Job, now_s: float
+    result: request_carrier.Result, job: jobs.Job, now_s: float
 ) -> _Refusal:
     if result.verdict is Verdict.NOT_RUN:
         return _Refusal(503, result.reason, result.retry_after_s)
--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/need.py
@@ -0,0 +1,65 @@
+"""Need: what a request needs of a server, and why it may get none."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class NotPlaced(enum.Enum):
+    """Why there is no server for a request."""
+
+    NO_SERVER = "no-server"
+    """No server is known that may get it."""
+
+    OVERLOADED = "overloaded"
+    """All servers are busy for longer than the request can wait."""
+
+
+@attrs.frozen
+class Rejection:
+    """Sentinel in place of a server."""
+
+    reason: NotPlaced
+    """Why there is none."""
+
+    retry_after_s: float
+    """When room is expected, in seconds."""
+
+
+@attrs.frozen
+class Need:
+    """What a request needs of a server."""
+
+    service: str
+    """Service that runs it."""
+
+    priority: int
+    """Rank; 0 is the highest."""
+
+    arrived_s: float
+    """Clock time at which it arrived."""
+
+    give_up_s: float
+    """Clock time until which it may wait."""
+
+    body_bytes: int
+    """Size of its body."""
+
+    excluded: frozenset[str]
+    """Identities of servers that it was sent to before."""
+
+    wants_new: bool
+    """Whether it goes to the version on trial, if that has room."""
+
+    work_s: float
+    """Expected work at usual speed, in seconds."""
+
+    objective_s: float
+    """Clock time by which its answer is in time."""
+
+    @property
+    def may_wait(self) -> bool:
+        """Whether it waits in line; else it is placed now or not at all."""
+        return self.give_up_s > self.arrived_s
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 from typing import TYPE_CHECKING
 
-import attrs
-
+from magnoliacrank.entry import need as needs
 from magnoliacrank.entry import owned_task
 from magnoliacrank.entry import wait_line
 from magnoliacrank.policy import crowding
@@ -58,64 +56,6 @@
 """Requests to a cold server at once."""
 
 
-class NotPlaced(enum.Enum):
-    """Why there is no server for a request."""
-
-    NO_SERVER = "no-server"
-    """No server is known that may get it."""
-
-    OVERLOADED = "overloaded"
-    """All servers are busy for longer than the request can wait."""
-
-
-@attrs.frozen
-class Rejection:
-    """Sentinel in place of a server."""
-
-    reason: NotPlaced
-    """Why there is none."""
-
-    retry_after_s: float
-    """When room is expected, in seconds."""
-
-
-@attrs.frozen
-class Need:
-    """What a request needs of a server."""
-
-    service: str
-    """Service that runs it."""
-
-    priority: int
-    """Rank; 0 is the highest."""
-
-    arrived_s: float
-    """Clock time at which it arrived."""
-
-    give_up_s: float
-    """Clock time until which it may wait."""
-
-    body_bytes: int
-    """Size of its body."""
-
-    excluded: frozenset[str]
-    """Identities of servers that it was sent to before."""
-
-    wants_new: bool
-    """Whether it goes to the version on trial, if that has room."""
-
-    work_s: float
-    """Expected work at usual speed, in seconds."""
-
-    objective_s: float
-    """Clock time by which its answer is in time."""
-
-    @property
-    def may_wait(self) -> bool:
-        """Whether it waits in line; else it is placed now or not at all."""
-        return self.give_up_s > self.arrived_s
-
-
 class Placer:
     """Chooses servers by asking a few of them for their load.
 
@@ -159,7 +99,9 @@
         """Returns how a service's servers slow down when nearly full."""
         return self._crowding.setdefault(service, crowding.Crowding())
 
-    async def place(self, need: Need) -> backend_table.Backend | Rejection:
+    async def place(
+        self, need: needs.Need
+    ) -> backend_table.Backend | needs.Rejection:
         """Finds a server, or says why there is none.
 
         Args:
@@ -167,7 +109,9 @@
         """
         line = self.line(need.service)
         if not self._candidates(need):
-            return Rejection(NotPlaced.NO_SERVER, self._no_server_retry_s())
+            return needs.Rejection(
+                needs.NotPlaced.NO_SERVER, self._no_server_retry_s()
+            )
         if not line.length or not need.may_wait:
             backend = await self._find(need)
             if backend is not None:
@@ -195,8 +139,8 @@
             line.on_freed()
 
     async def _wait_for_server(
-        self, need: Need, line: wait_line.WaitLine
-    ) -> backend_table.Backend | Rejection:
+        self, need: needs.Need, line: wait_line.WaitLine
+    ) -> backend_table.Backend | needs.Rejection:
         while True:
             backend = await self._find(need)
             if backend is not None:
@@ -206,18 +150,18 @@
             await line.until_freed(_POLL_S)
 
     def _placed(
-        self, need: Need, backend: backend_table.Backend
+        self, need: needs.Need, backend: backend_table.Backend
     ) -> backend_table.Backend:
         now_s = self._clock()
         backend.on_dispatch(now_s)
         self._drain(need.service).on_dispatch(now_s)
         return backend
 
-    def _overloaded(self, service: str) -> Rejection:
+    def _overloaded(self, service: str) -> needs.Rejection:
         retry_after_s = self._drain(service).retry_after_s(
             self.line(service).length, self._clock(), self._spread
         )
-        return Rejection(NotPlaced.OVERLOADED, retry_after_s)
+        return needs.Rejection(needs.NotPlaced.OVERLOADED, retry_after_s)
 
     def _no_server_retry_s(self) -> float:
         return _NO_SERVER_RETRY_S * self._spread.uniform(0.6, 1.4)
@@ -225,7 +169,7 @@
     def _drain(self, service: str) -> drain_estimate.DrainEstimate:
         return self._drains.setdefault(service, drain_estimate.DrainEstimate())
 
-    async def _find(self, need: Need) -> backend_table.Backend | None:
+    async def _find(self, need: needs.Need) -> backend_table.Backend | None:
         """Asks servers in rounds; returns the first good one or the best."""
         plan = self._view.plan
         service = None if plan is None else plan.services.get(need.service)
@@ -249,7 +193,9 @@
                 return backend
         return None
 
-    def _is_acceptable(self, need: Need, rating: placement.Rating) -> bool:
+    def _is_acceptable(
+        self, need: needs.Need, rating: placement.Rating
+    ) -> bool:
         """Whether a free but slow server is better than waiting for a good.
 
         Slowdowns by neighbours are short, and a request that began on a slow
@@ -267,7 +213,7 @@
 
     async def _ask(
         self,
-        need: Need,
+        need: needs.Need,
         asked: list[backend_table.Backend],
         health_path: str,
     ) -> backend_table.Backend | None:
@@ -316,7 +262,7 @@
             del self._asking[backend.entry.server_id]
 
     def _best_good(
-        self, need: Need, asked: Iterable[backend_table.Backend]
+        self, need: needs.Need, asked: Iterable[backend_table.Backend]
     ) -> backend_table.Backend | None:
         good = [
             (rating.order, index, backend)
@@ -328,7 +274,7 @@
         return min(good)[2] if good else None
 
     def _rating(
-        self, need: Need, backend: backend_table.Backend, max_age_s: float
+        self, need: needs.Need, backend: backend_table.Backend, max_age_s: float
     ) -> placement.Rating | None:
         """Rates a server by a recent report; None without one.
 
@@ -357,7 +303,7 @@
             body_bytes=need.body_bytes,
         )
 
-    def _candidates(self, need: Need) -> list[backend_table.Backend]:
+    def _candidates(self, need: needs.Need) -> list[backend_table.Backend]:
         """Returns servers in the order in which they are to be asked."""
         now_s = self._clock()
         target = self._view.target_version(need.service)
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -7,28 +7,22 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 from typing import TYPE_CHECKING
 
-from aiohttp import hdrs
 import attrs
 
 from magnoliacrank.entry import backend_link
-from magnoliacrank.entry import placer
-from magnoliacrank.gateway import exchange_failure
-from magnoliacrank.gateway import outbound_head
-from magnoliacrank.model import route_plan
-from magnoliacrank.platform import request_wire
-from magnoliacrank.policy import backend_health
+from magnoliacrank.entry import dispatch as dispatches
+from magnoliacrank.entry import dispatcher
+from magnoliacrank.entry import need as needs
 from magnoliacrank.policy import repeat_allowance
 
 if TYPE_CHECKING:
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import entry_state
-    from magnoliacrank.policy import version_trial
+    from magnoliacrank.entry import job as jobs
 
-FailureKind = exchange_failure.FailureKind
-Outcome = backend_health.Outcome
+Verdict = dispatches.Verdict
 Urgency = repeat_allowance.Urgency
 
 _HEDGE_SHARE = 0.5
@@ -38,9 +32,6 @@
 _HEDGE_RETRY_S = 0.1
 """Interval at which a second server is looked for after that."""
 
-_ANSWER_GRACE_S = 0.05
-"""Time beyond the deadline in which an answer that is ready is still taken."""
-
 _MAX_REFUSALS = 4
 """Servers that may refuse a request before it is given up."""
 
@@ -52,48 +43,6 @@
 _MIN_WAIT_S = 0.06
 """Least time for which a request may wait for a server."""
 
-_NOT_SENT = frozenset(
-    {
-        FailureKind.CONNECT_FAILED,
-        FailureKind.CONNECT_TIMEOUT,
-        FailureKind.POOL_CLOSED,
-    }
-)
-"""Failures after which a request was not sent."""
-
-_CRASHES = frozenset({FailureKind.CONNECTION_LOST})
-"""Failures that may mean that a request crashed its server."""
-
-
-class Verdict(enum.Enum):
-    """What is known about the execution of one dispatch."""
-
-    ANSWERED = "answered"
-    """A server ran it and its whole answer is here."""
-
-    FAILED = "failed"
-    """A server ran it and answered with a failure."""
-
-    NOT_RUN = "not-run"
-    """No server ran it."""
-
-    MAY_HAVE_RUN = "may-have-run"
-    """It was sent, and nothing certain came back."""
-
-
-@attrs.frozen
-class Dispatch:
-    """One dispatch of a request and its end."""
-
-    verdict: Verdict
-    """Whether it ran."""
-
-    reason: str
-    """Why, for logs and callers."""
-
-    answer: backend_link.WholeAnswer | None = None
-    """The answer, where there is one."""
-
 
 @attrs.frozen
 class Result:
@@ -112,46 +61,6 @@
     """When a caller is to come back, in seconds."""
 
 
-@attrs.frozen
-class Job:
-    """A request that is ready to be carried."""
-
-    request_id: str
-    """Identity of the caller's attempt."""
-
-    rule: route_plan.RouteRule
-    """Its route."""
-
-    service: str
-    """Service that runs it."""
-
-    method: str
-    """HTTP method."""
-
-    target: str
-    """Path and query."""
-
-    headers: tuple[tuple[str, str], ...]
-    """Headers that travel on, without deadline and target."""
-
-    body: bytes
-    """The whole body."""
-
-    arrived_s: float
-    """Clock time at which its head arrived."""
-
-    deadline_s: float
-    """Clock time until which its caller waits."""
-
-    fingerprint: str
-    """Identity of its content and caller."""
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Whether it may run more than once."""
-        return self.rule.kind is route_plan.RequestKind.IDEMPOTENT
-
-
 class RequestCarrier:
     """Carries one request; used once.
 
@@ -160,9 +69,10 @@
         job: The request.
     """
 
-    def __init__(self, state: entry_state.EntryState, job: Job) -> None:
+    def __init__(self, state: entry_state.EntryState, job: jobs.Job) -> None:
         self._state = state
         self._job = job
+        self._dispatcher = dispatcher.Dispatcher(state, job)
         self._clock = state.clock
         self._tried: set[str] = set()
         self._runs = 0
@@ -193,7 +103,7 @@
     async def _attempt(self) -> Result | None:
         """Places and sends the request; None if it may be sent once more."""
         found = await self._place()
-        if isinstance(found, placer.Rejection):
+        if isinstance(found, needs.Rejection):
             if self.has_been_sent or self._refusals:
                 return self._final(found.retry_after_s)
             return Result(
@@ -204,7 +114,7 @@
         dispatch = await self._dispatch_hedged(found)
         return self._settle(dispatch)
 
-    def _settle(self, dispatch: Dispatch) -> Result | None:
+    def _settle(self, dispatch: dispatches.Dispatch) -> Result | None:
         self._reason = dispatch.reason
         if dispatch.verdict is Verdict.ANSWERED:
             return Result(Verdict.ANSWERED, dispatch.reason, dispatch.answer)
@@ -253,12 +163,12 @@
         crew = len(self._state.roster.whole_crew(now_s))
         return trial.wants_request(now_s, crew)
 
-    async def _place(self) -> backend_table.Backend | placer.Rejection:
+    async def _place(self) -> backend_table.Backend | needs.Rejection:
         if self._is_expected_new:
             found = await self._state.placer.place(
                 self._need(wants_new=True, may_wait=self._is_taking_over())
             )
-            if not isinstance(found, placer.Rejection):
+            if not isinstance(found, needs.Rejection):
                 return found
         return await self._state.placer.place(
             self._need(wants_new=False, may_wait=True)
@@ -268,14 +178,14 @@
         trial = self._state.trials.trial(self._job.service)
         return trial is not None and trial.is_in_force(self._clock())
 
-    def _need(self, *, wants_new: bool, may_wait: bool) -> placer.Need:
+    def _need(self, *, wants_new: bool, may_wait: bool) -> needs.Need:
         job = self._job
         now_s = self._clock()
         work_s = self._state.work_s(job.rule)
         give_up_s = job.arrived_s + job.rule.target_latency_s - 1.2 * work_s
         give_up_s = max(give_up_s, now_s + _MIN_WAIT_S)
         give_up_s = min(give_up_s, job.deadline_s - 0.5 * work_s)
-        return placer.Need(
+        return needs.Need(
             service=job.service,
             priority=job.rule.priority,
             arrived_s=job.arrived_s,
@@ -289,13 +199,13 @@
 
     async def _dispatch_hedged(
         self, backend: backend_table.Backend
-    ) -> Dispatch:
+    ) -> dispatches.Dispatch:
         """Sends the request, and a safe one also elsewhere when it is late."""
         job = self._job
         if not job.is_idempotent or self._runs + 1 >= job.rule.max_attempts:
-            return await self._dispatch(backend)
+            return await self._send(backend)
         loop = asyncio.get_running_loop()
-        tasks = {loop.create_task(self._dispatch(backend))}
+        tasks = {loop.create_task(self._send(backend))}
         hedge_s = job.rule.target_latency_s * _HEDGE_SHARE
         try:
             second = None
@@ -305,12 +215,23 @@
                     return done.pop().result()
                 second = await self._find_second()
                 hedge_s = _HEDGE_RETRY_S
-            tasks.add(loop.create_task(self._dispatch(second)))
+            tasks.add(loop.create_task(self._send(second)))
             return await _first_answer(tasks)
         finally:
             for task in tasks:
                 task.cancel()
 
+    async def _send(
+        self, backend: backend_table.Backend
+    ) -> dispatches.Dispatch:
+        """Sends the request to one server and counts it."""
+        self._tried.add(backend.entry.server_id)
+        self._runs += 1
+        dispatch = await self._dispatcher.send(backend)
+        if dispatch.verdict is Verdict.NOT_RUN:
+            self._runs -= 1
+        return dispatch
+
     async def _find_second(self) -> backend_table.Backend | None:
         if self._clock() >= self._job.deadline_s:
             return None
@@ -320,190 +241,31 @@
         found = await self._state.placer.place(
             self._need(wants_new=False, may_wait=False)
         )
-        if isinstance(found, placer.Rejection):
+        if isinstance(found, needs.Rejection):
             return None
         if not self._state.try_repeat(self._job.service, Urgency.HEDGE):
             self._state.placer.on_finished(found)
             return None
         return found
 
-    async def _dispatch(self, backend: backend_table.Backend) -> Dispatch:
-        """Sends the request to one server."""
-        state = self._state
-        job = self._job
-        entry = backend.entry
-        sent_s = self._clock()
-        self._tried.add(entry.server_id)
-        self._runs += 1
-        trial = state.trials.trial(job.service)
-        is_new = trial is not None and (
-            entry.version == trial.order.target_version
-        )
-        if trial is not None and is_new:
-            trial.on_sent()
-        outcome: backend_link.WholeAnswer | exchange_failure.ExchangeFailure
-        report = backend.report
-        slowdown = report.slowdown if report else 1.0
-        busy = report.running + backend.sent_since_report if report else 0
-        try:
-            outcome = await backend.link.exchange(
-                self._sendable(backend),
-                job.deadline_s - sent_s + _ANSWER_GRACE_S,
-            )
-        except asyncio.CancelledError:
-            # Another server was faster, or the caller left.
-            self._learn_pace(backend, self._clock() - sent_s, slowdown, busy)
-            raise
-        finally:
-            state.placer.on_finished(backend)
-        dispatch = _judge(outcome)
-        if dispatch.verdict is Verdict.NOT_RUN:
-            self._runs -= 1
-        duration_s = self._clock() - sent_s
-        self._learn(backend, dispatch, duration_s, slowdown, busy, outcome)
-        if trial is not None and dispatch.verdict is not Verdict.NOT_RUN:
-            _teach(trial, job.rule.name, dispatch, duration_s, is_new=is_new)
-            if is_new and dispatch.verdict is not Verdict.ANSWERED:
-                state.trials.on_failure()
-        return dispatch
-
-    def _sendable(
-        self, backend: backend_table.Backend
-    ) -> backend_link.Sendable:
-        job = self._job
-        left_s = job.deadline_s - self._clock()
-        headers = [
-            *job.headers,
-            (request_wire.DEADLINE, request_wire.format_deadline(left_s)),
-            (request_wire.TARGET, backend.entry.server_id),
-        ]
-        return backend_link.Sendable(
-            outbound_head.OutboundHead(job.method, job.target, headers),
-            job.body,
-            job.request_id,
-        )
-
-    def _learn(
-        self,
-        backend: backend_table.Backend,
-        dispatch: Dispatch,
-        duration_s: float,
-        slowdown: float,
-        busy: int,
-        outcome: backend_link.WholeAnswer | exchange_failure.ExchangeFailure,
-    ) -> None:
-        state = self._state
-        job = self._job
-        now_s = self._clock()
-        backend.health.on_outcome(_OUTCOMES[dispatch.verdict], now_s)
-        if dispatch.verdict is Verdict.ANSWERED:
-            state.crashes.on_answered(job.fingerprint)
-            self._learn_pace(backend, duration_s, slowdown, busy)
-            if duration_s > job.rule.target_latency_s:
-                self._log_late(backend, duration_s, slowdown)
-            state.on_work(job.rule, duration_s / max(slowdown, 1.0))
-            return
-        if (
-            isinstance(outcome, exchange_failure.ExchangeFailure)
-            and outcome.kind in _CRASHES
-        ):
-            state.crashes.on_crash(job.fingerprint, now_s)
-        state.log.request(
-            "dispatch failed",
-            job.request_id,
-            server=backend.entry.server_id,
-            verdict=dispatch.verdict.value,
-            reason=dispatch.reason,
-            duration_s=round(duration_s, 4),
-            route=job.rule.name,
-        )
-
-    def _log_late(
-        self,
-        backend: backend_table.Backend,
-        duration_s: float,
-        slowdown: float,
-    ) -> None:
-        self._state.log.request(
-            "answer late",
-            self._job.request_id,
-            server=backend.entry.server_id,
-            route=self._job.rule.name,
-            duration_s=round(duration_s, 4),
-            slowdown=slowdown,
-            in_flight=backend.in_flight,
-            pace=round(backend.health.pace, 2),
-        )
 
-    def _learn_pace(
-        self,
-        backend: backend_table.Backend,
-        duration_s: float,
-        slowdown: float,
-        busy: int,
-    ) -> None:
-        expected_s = self._state.work_s(self._job.rule) * slowdown
-        ratio = duration_s / max(expected_s, 1e-3)
-        backend.health.on_duration(ratio)
-        crowding = self._state.placer.crowding_of(self._job.service)
-        crowding.on_duration(busy, backend.entry.slots, ratio)
-
-
-_OUTCOMES = {
-    Verdict.ANSWERED: Outcome.SUCCEEDED,
-    Verdict.FAILED: Outcome.FAILED,
-    Verdict.NOT_RUN: Outcome.REFUSED,
-    Verdict.MAY_HAVE_RUN: Outcome.FAILED,
-}
-
-
-def _judge(
-    outcome: backend_link.WholeAnswer | exchange_failure.ExchangeFailure,
-) -> Dispatch:
-    """Says what is known after one exchange with a server."""
-    if isinstance(outcome, exchange_failure.ExchangeFailure):
-        if outcome.kind in _NOT_SENT:
-            return Dispatch(Verdict.NOT_RUN, outcome.kind.value)
-        return Dispatch(Verdict.MAY_HAVE_RUN, outcome.kind.value)
-    status, headers = outcome.status, outcome.headers
-    if request_wire.is_not_executed(status, headers):
-        return Dispatch(Verdict.NOT_RUN, "server-refused")
-    is_intact = (
-        request_wire.SIGNATURE in headers
-        and hdrs.CONTENT_ENCODING not in headers
-    )
-    if status in request_wire.PROMISES or not is_intact:
-        # Such a status without the statement promises what nobody knows.
-        return Dispatch(Verdict.MAY_HAVE_RUN, f"status-{status}-unstated")
-    if status >= 500:
-        return Dispatch(Verdict.FAILED, f"status-{status}", outcome)
-    return Dispatch(Verdict.ANSWERED, f"status-{status}", outcome)
-
-
-def _teach(
-    trial: version_trial.VersionTrial,
-    route: str,
-    dispatch: Dispatch,
-    duration_s: float,
-    *,
-    is_new: bool,
-) -> None:
-    trial.on_answer(
-        route,
-        is_new=is_new,
-        failed=dispatch.verdict is not Verdict.ANSWERED,
-        duration_s=duration_s,
-    )
-
-
-async def _first_answer(tasks: set[asyncio.Task[Dispatch]]) -> Dispatch:
-    """Returns the first answer, or the last failure."""
-    while True:
-        done, tasks_left = await asyncio.wait(
+async def _first_answer(
+    tasks: set[asyncio.Task[dispatches.Dispatch]],
+) -> dispatches.Dispatch:
+    """Returns the first answer, or what all dispatches say together."""
+    found: dispatches.Dispatch | None = None
+    while tasks:
+        done, pending = await asyncio.wait(
             tasks, return_when=asyncio.FIRST_COMPLETED
         )
-        results = [task.result() for task in done]
         tasks -= done
-        for result in results:
-            if result.verdict is Verdict.ANSWERED or not tasks_left:
-                return result
+        for task in done:
+            result = task.result()
+            found = (
+                result if found is None else dispatches.combine(found, result)
+            )
+        if found is not None and found.verdict is Verdict.ANSWERED:
+            return found
+        tasks = pending
+    assert found is not None, "at least one task was given"
+    return found
