Send fewer heartbeats between data centres; read less for unknown routes

Change: every beat within a data centre, every second to other crews, every fifth to the rest; the view is read anew for an unknown route only when it is older than a second, half of the bound.

--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -35,6 +35,10 @@
 _CRASH_RETRY_S = 5.0
 """What the caller is told whose request crashes servers."""
 
+_UNKNOWN_ROUTE_AGE_S = 1.0
+"""Age of the view beyond which it is read anew for an unknown route; half of
+the time in which a configuration has to be in force."""
+
 _SHORTEST_S = 0.001
 """Least time with which a request is worth passing on."""
 
@@ -98,7 +102,7 @@
         rule = self._look_up(host, exchange.path)
         if rule is None:
             # The route may have been added a moment ago.
-            await self._reader.refresh()
+            await self._reader.refresh(_UNKNOWN_ROUTE_AGE_S)
             rule = self._look_up(host, exchange.path)
         if rule is not None:
             return rule
--- a/packages/entry/src/magnoliacrank/entry/peer_link.py
+++ b/packages/entry/src/magnoliacrank/entry/peer_link.py
@@ -98,18 +98,20 @@
         del exc
 
     async def _run(self) -> None:
+        number = 0
         while True:
             self._wake.clear()
             beat = self._source.next_beat()
             data = peer_beat.encode(beat)
-            for ip in self._roster.addresses(self._clock()):
+            for ip in self._roster.recipients(number, self._clock()):
                 self._send(data, ip)
             interval_s = OFTEN_S if beat.beats_often else SELDOM_S
             try:
                 async with asyncio.timeout(interval_s):
                     await self._wake.wait()
+                number = 0
             except TimeoutError:
-                continue
+                number += 1
 
     def _send(self, data: bytes, ip: str) -> None:
         if self._transport is not None:
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -151,8 +151,19 @@
             return
         await asyncio.wait({self._start_reading()}, timeout=_REQUEST_WAIT_S)
 
-    async def refresh(self) -> None:
-        """Reads once more, whatever the view's age."""
+    async def refresh(self, max_age_s: float) -> None:
+        """Reads once more, unless the view is younger than an age.
+
+        Args:
+            max_age_s: Age in seconds up to which nothing is read.
+        """
+        now_s = self._clock()
+        if now_s < self._next_try_s:
+            return
+        if self._verified_s is not None and (
+            now_s - self._verified_s <= max_age_s and not self._is_behind()
+        ):
+            return
         await asyncio.wait({self._start_reading()}, timeout=_REQUEST_WAIT_S)
 
     async def _run(self) -> None:
--- a/packages/policy/src/magnoliacrank/policy/crew_roster.py
+++ b/packages/policy/src/magnoliacrank/policy/crew_roster.py
@@ -18,7 +18,12 @@
 heartbeats, so that two may be lost."""
 
 MEMBER_SILENCE_S = 3.5
-"""Silence after which another instance is left out; three heartbeats."""
+"""Silence after which another instance is left out; three heartbeats. It also
+holds for crews of other data centres, which are heard more seldom."""
+
+REMOTE_SILENCE_S = 7.0
+"""Silence after which an instance beside the crew of another data centre is
+left out; three heartbeats."""
 
 FORGET_S = 60.0
 """Silence after which an instance is no longer sent heartbeats."""
@@ -139,10 +144,11 @@
         self._members[fact.node] = _Member(fact, now_s)
         self._addresses[fact.ip] = now_s
 
-    def addresses(self, now_s: float) -> list[str]:
-        """Returns the addresses that heartbeats go to.
+    def recipients(self, number: int, now_s: float) -> list[str]:
+        """Returns the addresses that a heartbeat goes to.
 
         Args:
+            number: Number of the heartbeat; 0 goes to all.
             now_s: Monotonic time in seconds.
         """
         old = [
@@ -152,7 +158,14 @@
         ]
         for ip in old:
             del self._addresses[ip]
-        return list(self._addresses)
+        facts = {
+            member.fact.ip: member.fact for member in self._members.values()
+        }
+        return [
+            ip
+            for ip in self._addresses
+            if number % self._every(facts.get(ip)) == 0
+        ]
 
     def alive(self, now_s: float) -> list[PeerFact]:
         """Returns the instances that can serve, this one included, by rank.
@@ -163,7 +176,7 @@
         facts = [
             member.fact
             for member in self._members.values()
-            if _is_heard(member, now_s)
+            if self._is_heard(member, now_s)
         ]
         facts.append(self._own)
         usable = [
@@ -234,6 +247,18 @@
         own = _rank(self._own.node)
         return sum(_rank(fact.node) > own for fact in self.alive(now_s))
 
+    def _is_heard(self, member: _Member, now_s: float) -> bool:
+        is_local = member.fact.data_centre == self._own.data_centre
+        limit_s = _SILENCE_S[is_local, member.fact.beats_often]
+        return now_s - member.heard_s <= limit_s
+
+    def _every(self, fact: PeerFact | None) -> int:
+        is_often = self._own.beats_often
+        if fact is None:
+            return _EVERY[is_often, False, False]
+        is_local = fact.data_centre == self._own.data_centre
+        return _EVERY[is_often, is_local, fact.beats_often]
+
     def _crew_of(
         self, alive: list[PeerFact], data_centre: str
     ) -> list[PeerFact]:
@@ -241,6 +266,24 @@
         return local[: self.crew_size(data_centre)]
 
 
-def _is_heard(member: _Member, now_s: float) -> bool:
-    limit_s = CREW_SILENCE_S if member.fact.beats_often else MEMBER_SILENCE_S
-    return now_s - member.heard_s <= limit_s
+_SILENCE_S = {
+    (True, True): CREW_SILENCE_S,
+    (True, False): MEMBER_SILENCE_S,
+    (False, True): MEMBER_SILENCE_S,
+    (False, False): REMOTE_SILENCE_S,
+}
+"""Silence allowed, by whether the sender is local and whether it is often."""
+
+_EVERY = {
+    (True, True, True): 1,
+    (True, True, False): 1,
+    (True, False, True): 2,
+    (True, False, False): 5,
+    (False, True, True): 1,
+    (False, True, False): 1,
+    (False, False, True): 2,
+    (False, False, False): 2,
+}
+"""Which of an instance's heartbeats go to another, by whether its own are
+often, whether the other is local, and whether the other's are often. Bytes
+within a data centre are free; only directories there need to know at once."""
--- a/packages/policy/tests/test_crew_roster.py
+++ b/packages/policy/tests/test_crew_roster.py
@@ -50,6 +50,10 @@
         (_fact(1), 0.8, False),
         (_fact(1, beats_often=False), 3.4, True),
         (_fact(1, beats_often=False), 3.6, False),
+        (_fact(1, "b"), 3.4, True),
+        (_fact(1, "b"), 3.6, False),
+        (_fact(1, "b", beats_often=False), 6.9, True),
+        (_fact(1, "b", beats_often=False), 7.1, False),
         (_fact(1, is_leaving=True), 0.0, False),
         (_fact(1, is_ready=False), 0.0, False),
     ],
@@ -61,6 +65,24 @@
     assert (fact in roster.alive(silence_s)) is is_alive
 
 
+def test_heartbeats_to_other_data_centres_are_fewer():
+    local, crew = _fact(1), _fact(2, "b")
+    other = _fact(3, "b", beats_often=False)
+    roster = _roster(local, crew, other)
+    roster.introduce("10.0.0.9", 0.0)
+    counts = {}
+    for number in range(10):
+        for ip in roster.recipients(number, 0.1):
+            counts[ip] = counts.get(ip, 0) + 1
+    assert counts == {
+        local.ip: 10,
+        crew.ip: 5,
+        other.ip: 2,
+        "10.0.0.9": 2,
+    }
+    assert len(roster.recipients(0, 0.1)) == 4
+
+
 def test_older_incarnation_is_ignored():
     roster = _roster(_fact(1, incarnation=5))
     roster.hear(_fact(1, incarnation=4, is_ready=False), 0.1)
