--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -88,6 +88,7 @@
         self._spread = spread
         self._lines: dict[str, wait_line.WaitLine] = {}
         self._crowding: dict[str, crowding.Crowding] = {}
+        self._untold: set[str] = set()
         self._drains: dict[str, drain_estimate.DrainEstimate] = {}
         self._asking: dict[str, asyncio.Task[None]] = {}
 
@@ -175,6 +176,8 @@
         service = None if plan is None else plan.services.get(need.service)
         health_path = "/health" if service is None else service.health_path
         candidates = self._candidates(need)
+        if need.service in self._untold:
+            return self._find_by_own_load(candidates)
         for start in range(0, _ASKED_AT_ONCE * _ROUNDS, _ASKED_AT_ONCE):
             asked = candidates[start : start + _ASKED_AT_ONCE]
             if not asked:
@@ -193,6 +196,34 @@
                 return backend
         return None
 
+    def _find_by_own_load(
+        self, candidates: list[backend_table.Backend]
+    ) -> backend_table.Backend | None:
+        """Chooses among servers that tell no load, by this instance's own.
+
+        Their health path waits for a slot like a request, so asking them at
+        each dispatch would cost what it is to save.
+        """
+        now_s = self._clock()
+        free = [
+            backend
+            for backend in candidates
+            if backend.in_flight < backend.entry.slots
+        ]
+        keyed = [
+            (
+                self._preference(backend, now_s),
+                backend.in_flight / backend.entry.slots,
+                max(backend.health.pace, 1.0),
+                index,
+            )
+            for index, backend in enumerate(free)
+        ]
+        for *_, index in sorted(keyed):
+            if self._try_take(free[index]):
+                return free[index]
+        return None
+
     def _is_acceptable(
         self, need: needs.Need, rating: placement.Rating
     ) -> bool:
@@ -257,9 +288,13 @@
         self, backend: backend_table.Backend, health_path: str
     ) -> None:
         try:
-            await self._table.probe(backend, health_path)
+            report = await self._table.probe(backend, health_path)
         finally:
             del self._asking[backend.entry.server_id]
+        if report is None or not report.is_healthy:
+            return
+        if not report.tells_load:
+            self._untold.add(backend.entry.service)
 
     def _best_good(
         self, need: needs.Need, asked: Iterable[backend_table.Backend]
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -382,3 +382,61 @@
     for extra in range(10):
         await site.request(request_id=f"x{extra}")
     assert len(new.runs) == before + 10
+
+
+async def test_servers_that_tell_no_load_are_not_asked_each_time(site):
+    backends = [await site.add_backend(f"s{n}", slots=2) for n in range(4)]
+    for backend in backends:
+        backend.tells_load = False
+        backend.work_s = 0.05
+    await site.add_instance()
+    await site.ready()
+    await site.request(request_id="first")
+    before = sum(backend.probes for backend in backends)
+    results = await asyncio.gather(
+        *(site.request(request_id=f"r{number}") for number in range(8))
+    )
+    assert {status for status, _, _ in results} == {200}
+    assert sum(backend.probes for backend in backends) == before
+    assert all(len(backend.runs) >= 2 for backend in backends)
+
+
+@pytest.mark.parametrize(
+    ("places", "servers", "slots"),
+    [
+        (["a"], 3, 4),
+        (["a", "b", "c", "d", "e"], 10, 2),
+        (["a", "b"], 4, 1),
+    ],
+    ids=["one data centre", "five data centres", "one slot"],
+)
+async def test_unseen_deployments_are_served(site, places, servers, slots):
+    for number in range(servers):
+        place = places[number % len(places)]
+        await site.add_backend(f"s{number}", data_centre=place, slots=slots)
+    for number, place in enumerate(places, 1):
+        await site.add_instance(number, place)
+    await site.ready()
+    results = await asyncio.gather(
+        *(
+            site.request(request_id=f"r{number}", number=number)
+            for number in range(1, len(places) + 1)
+        )
+    )
+    assert {status for status, _, _ in results} == {200}
+    for place in places:
+        path = f"/api/resolve?name=x&region=r&zone={place}"
+        status, content = await site.ask(2, path)
+        assert status == 200
+        assert json.loads(content)["addresses"]
+
+
+async def test_silent_store_holds_no_request(site):
+    await site.add_backend("s1")
+    instance = await site.add_instance()
+    await site.ready()
+    site.store.fault = platform_store.Fault.SILENT
+    await site.until(lambda: instance._reader.is_store_away)
+    for number in range(5):
+        status, _, _ = await site.request(request_id=f"r{number}")
+        assert status == 200
