--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -76,8 +76,6 @@
             # Another server was faster, or the caller left.
             self._learn_pace(backend, self._clock() - sent_s, slowdown, busy)
             raise
-        finally:
-            state.placer.on_finished(backend)
         dispatch = dispatches.judge(outcome)
         duration_s = self._clock() - sent_s
         self._learn(backend, dispatch, duration_s, slowdown, busy, outcome)
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -91,7 +91,7 @@
             return
         self._held_bytes += size
         try:
-            await self._serve(exchange, rule, arrived_s)
+            await self._serve(exchange, rule, arrived_s, size)
         finally:
             self._held_bytes -= size
 
@@ -119,11 +119,14 @@
         exchange: inbound_exchange.InboundExchange,
         rule: route_plan.RouteRule,
         arrived_s: float,
+        stated_bytes: int,
     ) -> None:
         plan = self._view.plan
         assert plan is not None, "a route was found"
-        body = await exchange.read_body(plan.limits.max_body_bytes)
-        refusal = _check_body(body)
+        room = _BODY_MEMORY_BYTES - self._held_bytes + stated_bytes
+        limit = min(plan.limits.max_body_bytes, room)
+        body = await exchange.read_body(limit)
+        refusal = _check_body(body, is_short_of_memory=limit == room)
         if refusal is not None:
             await self._refuse(exchange, refusal, rule, arrived_s)
             return
@@ -258,8 +261,12 @@
 
 def _check_body(
     body: bytes | bodies.BodyTooLarge | bodies.BodyFailure,
+    *,
+    is_short_of_memory: bool,
 ) -> _Refusal | None:
     if isinstance(body, bodies.BodyTooLarge):
+        if is_short_of_memory:
+            return _Refusal(503, "body-memory", _NO_PLAN_RETRY_S)
         return _Refusal(413, "body-too-large")
     if isinstance(body, bodies.BodyFailure):
         return _Refusal(body.status, body.kind.value)
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -203,9 +203,11 @@
         """Sends the request, and a safe one also elsewhere when it is late."""
         job = self._job
         if not job.is_idempotent or self._runs + 1 >= job.rule.max_attempts:
-            return await self._send(backend)
-        loop = asyncio.get_running_loop()
-        tasks = {loop.create_task(self._send(backend))}
+            try:
+                return await self._send(backend)
+            finally:
+                self._state.placer.on_finished(backend)
+        tasks = {self._start_sending(backend)}
         hedge_s = job.rule.target_latency_s * _HEDGE_SHARE
         try:
             second = None
@@ -215,12 +217,26 @@
                     return done.pop().result()
                 second = await self._find_second()
                 hedge_s = _HEDGE_RETRY_S
-            tasks.add(loop.create_task(self._send(second)))
+            tasks.add(self._start_sending(second))
             return await _first_answer(tasks)
         finally:
             for task in tasks:
                 task.cancel()
 
+    def _start_sending(
+        self, backend: backend_table.Backend
+    ) -> asyncio.Task[dispatches.Dispatch]:
+        """Sends the request from a task of its own.
+
+        The server is handed back by a callback, since a task that is cancelled
+        before its first step runs none of its code.
+        """
+        task = asyncio.get_running_loop().create_task(self._send(backend))
+        task.add_done_callback(
+            lambda _: self._state.placer.on_finished(backend)
+        )
+        return task
+
     async def _send(
         self, backend: backend_table.Backend
     ) -> dispatches.Dispatch:
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -5,11 +5,15 @@
 
 import pytest
 
+from magnoliacrank.entry import entry_handler
+from magnoliacrank.entry import job as jobs
+from magnoliacrank.entry import request_carrier
 from magnoliacrank.platform import store_client
 from magnoliacrank.standins import platform_backend
 from magnoliacrank.standins import platform_store
 
 Fault = platform_backend.BackendFault
+HOST = "site.example"
 
 
 async def test_request_reaches_server_with_headers_and_body(site):
@@ -440,3 +444,66 @@
     for number in range(5):
         status, _, _ = await site.request(request_id=f"r{number}")
         assert status == 200
+
+
+async def test_request_cancelled_before_its_first_step_frees_its_server(site):
+    """A caller leaves in the turn in which its request was placed."""
+    backend = await site.add_backend("s1")
+    instance = await site.add_instance()
+    await site.ready()
+    await site.request()
+    known = instance._table.find(instance._view.entry("s1"))
+    rule = instance._view.plan.find_route(HOST, "/read/1")
+    job = jobs.Job(
+        request_id="left",
+        rule=rule,
+        service="svc",
+        method="GET",
+        target="/read/1",
+        headers=(("Host", HOST), ("Request-Id", "left")),
+        body=b"",
+        arrived_s=instance._clock(),
+        deadline_s=instance._clock() + 1.0,
+        fingerprint="f",
+    )
+    carrier = request_carrier.RequestCarrier(instance._state, job)
+    known.on_dispatch(instance._clock())
+    task = asyncio.ensure_future(carrier._dispatch_hedged(known))
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await asyncio.sleep(0)
+    assert known.in_flight == 0
+    assert "left" not in backend.runs
+
+
+@pytest.mark.parametrize(("size", "status"), [(900_000, 200), (1_100_000, 413)])
+async def test_chunked_body_is_bounded(site, size, status):
+    await site.add_backend("s1")
+    await site.add_instance()
+    await site.ready()
+
+    async def chunks():
+        for _ in range(size // 100_000):
+            yield b"x" * 100_000
+
+    found, _, _ = await site.request("/write/1", "POST", data=chunks())
+    assert found == status
+
+
+async def test_bodies_beyond_the_memory_are_refused_at_once(site, monkeypatch):
+    monkeypatch.setattr(entry_handler, "_BODY_MEMORY_BYTES", 150_000)
+    await site.add_backend("s1")
+    await site.add_instance()
+    await site.ready()
+
+    async def chunks():
+        for _ in range(3):
+            yield b"x" * 100_000
+
+    status, _, _ = await site.request("/write/1", "POST", data=chunks())
+    assert status == 503
+    status, _, _ = await site.request("/write/1", "POST", data=b"x" * 200_000)
+    assert status == 503
+    status, _, _ = await site.request("/write/1", "POST", data=b"x" * 90_000)
+    assert status == 200
