--- a/packages/entry/src/magnoliacrank/entry/backend_link.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_link.py
@@ -95,11 +95,6 @@
         """Host and port as in a Host header."""
         return f"{self._host}:{self._port}"
 
-    @property
-    def busy_count(self) -> int:
-        """Connections with a request under way."""
-        return len(self._busy)
-
     def close_idle(self) -> None:
         """Closes the idle connections, and others once they become idle."""
         self._is_closed = True
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -76,11 +76,6 @@
         """Data centres that operators have taken out."""
         return self._evacuated
 
-    @property
-    def rollout_orders(self) -> dict[str, tuple[orders.RolloutOrder, int]]:
-        """Roll-out orders with the offsets of their records, by service."""
-        return self._orders
-
     @property
     def statuses(self) -> dict[str, orders.RolloutStatus]:
         """Recorded states of roll-outs by service."""
