Never reopen a roll-out whose outcome is recorded

After all instances were restarted, each held the completed version for one on trial, and requests of the old version found no server. Ruled out: overload (servers were idle; the reason was no-server), lapsed entries (the old servers had stopped). Change: nothing is judged or recorded before the recorded states are known; a final state of the same version is kept unless the order follows a known one; the only version that is left serves. Both tests failed before.

--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -231,9 +231,15 @@
             )
         )
 
-    def on_rollout(self, order: orders.RolloutOrder, offset: int) -> None:
+    def on_rollout(
+        self,
+        order: orders.RolloutOrder,
+        offset: int,
+        *,
+        follows_another: bool,
+    ) -> None:
         """Operators ordered a roll-out."""
-        self._trials.on_rollout(order, offset)
+        self._trials.on_rollout(order, offset, follows_another=follows_another)
 
     def on_servers(self, counts: dict[str, int]) -> None:
         """The registered servers of each data centre have changed."""
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -342,6 +342,9 @@
         """Returns servers in the order in which they are to be asked."""
         now_s = self._clock()
         target = self._view.target_version(need.service)
+        if target is not None and self._view.has_only_target(need.service):
+            # The old version is gone: there is nothing to compare with.
+            target = None
         entries = [
             entry
             for entry in self._view.backends(need.service)
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -30,8 +30,14 @@
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
         """A new configuration is in force."""
 
-    def on_rollout(self, order: orders.RolloutOrder, offset: int) -> None:
-        """Operators ordered a roll-out."""
+    def on_rollout(
+        self,
+        order: orders.RolloutOrder,
+        offset: int,
+        *,
+        follows_another: bool,
+    ) -> None:
+        """Operators ordered a roll-out, perhaps after a known one."""
 
     def on_servers(self, counts: dict[str, int]) -> None:
         """The registered servers of each data centre have changed."""
@@ -119,6 +125,15 @@
             return None
         return found[0].target_version
 
+    def has_only_target(self, service: str) -> bool:
+        """Whether all servers of a service have the version on trial."""
+        target = self.target_version(service)
+        return target is not None and all(
+            entry.version == target
+            for entry in self._entries.values()
+            if entry.service == service
+        )
+
     def on_store(self, *, answers: bool) -> None:
         """Notes whether the store answers."""
         self._lapsed.on_store(answers=answers, now_s=self._clock())
@@ -209,7 +224,9 @@
             duration_s=order.duration_s,
         )
         for listener in self._listeners:
-            listener.on_rollout(order, record.offset)
+            listener.on_rollout(
+                order, record.offset, follows_another=before is not None
+            )
 
     def _apply_evacuations(self) -> None:
         found = (
--- a/packages/entry/src/magnoliacrank/entry/trial_keeper.py
+++ b/packages/entry/src/magnoliacrank/entry/trial_keeper.py
@@ -32,6 +32,10 @@
 _CALL_TIMEOUT_S = 1.0
 """Longest time for one answer of the store."""
 
+_STATES_RETRY_S = 0.5
+"""Pause between attempts to read the recorded states; before, nothing is
+judged, since an earlier process may have recorded an outcome."""
+
 _REPORT_S = 15.0
 """Time for which heartbeats tell of a decided roll-out."""
 
@@ -41,6 +45,7 @@
     trial: version_trial.VersionTrial
     wanted: orders.RolloutState
     wanted_s: float
+    follows_another: bool
     recorded: orders.RolloutState | None = None
 
 
@@ -72,6 +77,7 @@
         self._log = log
         self._clock = clock
         self._kept: dict[str, _Kept] = {}
+        self._knows_states = False
         self._task: asyncio.Task[None] | None = None
         self._on_urgent: Callable[[], None] = lambda: None
 
@@ -94,8 +100,13 @@
         )
         if isinstance(newest, store_client.StoreFailure):
             return False
+        self._knows_states = True
         for status in self._decode_states(newest):
-            self._view.apply_status(status)
+            kept = self._kept.get(status.service)
+            if kept is None:
+                self._view.apply_status(status)
+            elif not kept.follows_another:
+                self._adopt(kept, status)
         return True
 
     def trial(self, service: str) -> version_trial.VersionTrial | None:
@@ -105,8 +116,21 @@
             return None
         return kept.trial
 
-    def on_rollout(self, order: orders.RolloutOrder, offset: int) -> None:
-        """Begins a trial, unless its outcome is already recorded."""
+    def on_rollout(
+        self,
+        order: orders.RolloutOrder,
+        offset: int,
+        *,
+        follows_another: bool,
+    ) -> None:
+        """Begins a trial, unless its outcome is already recorded.
+
+        Args:
+            order: What operators asked for.
+            offset: Offset of the order's record.
+            follows_another: Whether it replaces an order that this instance
+                knew, so that a recorded state belongs to that one.
+        """
         status = self._view.statuses.get(order.service)
         if (
             status is not None
@@ -123,7 +147,7 @@
             self._bounds.exposure_slack,
         )
         self._kept[order.service] = _Kept(
-            trial, orders.RolloutState.RUNNING, now_s
+            trial, orders.RolloutState.RUNNING, now_s, follows_another
         )
 
     def on_failure(self) -> None:
@@ -160,6 +184,9 @@
 
     async def _run(self) -> None:
         while True:
+            if not self._knows_states and not await self.load_states():
+                await asyncio.sleep(_STATES_RETRY_S)
+                continue
             for kept in list(self._kept.values()):
                 self._judge(kept)
                 await self._record(kept)
@@ -218,7 +245,7 @@
         status = orders.RolloutStatus(
             order.service, order.target_version, kept.wanted
         )
-        recorded = await self._write(status)
+        recorded = await self._write(status, may_restart=kept.follows_another)
         if recorded is None:
             return
         kept.recorded = recorded.state
@@ -228,12 +255,17 @@
             self._on_urgent()
 
     async def _write(
-        self, status: orders.RolloutStatus
+        self, status: orders.RolloutStatus, *, may_restart: bool
     ) -> orders.RolloutStatus | None:
         """Writes a state unless a final one is there; returns what is there.
 
         The write is conditional on the end of the topic, so an instance that
         was paused between reading and writing changes nothing.
+
+        Args:
+            status: The state.
+            may_restart: Whether a final state may be that of an earlier order
+                for the same version, which `running` replaces.
         """
         newest = await self._store.newest(
             store_client.STATUS_TOPIC, _CALL_TIMEOUT_S
@@ -245,8 +277,10 @@
             if (
                 known.service == status.service
                 and known.target_version == status.target_version
-                and status.state is not orders.RolloutState.RUNNING
                 and known.state is not orders.RolloutState.RUNNING
+                and not (
+                    may_restart and status.state is orders.RolloutState.RUNNING
+                )
             ):
                 return known
         result = await self._store.append(
@@ -261,6 +295,17 @@
             return None
         return status
 
+    def _adopt(self, kept: _Kept, status: orders.RolloutStatus) -> None:
+        """Takes over a final state that was recorded for a trial's order."""
+        if (
+            status.target_version != kept.trial.order.target_version
+            or status.state is orders.RolloutState.RUNNING
+        ):
+            return
+        kept.wanted = status.state
+        kept.recorded = status.state
+        self._apply(kept, status.state)
+
     def _log_failure(
         self, status: orders.RolloutStatus, failure: store_client.StoreFailure
     ) -> None:
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -507,3 +507,57 @@
     assert status == 503
     status, _, _ = await site.request("/write/1", "POST", data=b"x" * 90_000)
     assert status == 200
+
+
+ORDER = {"service": "svc", "target-version": "v2", "duration": "12s"}
+
+
+def _states(site):
+    return [
+        json.loads(value)["state"]
+        for key, value in site.store.history("keyed.status")
+        if key == "rollout/svc"
+    ]
+
+
+async def test_restarted_instance_does_not_reopen_a_completed_rollout(
+    site, monkeypatch
+):
+    """Found by a hunt (hunt-b24e-3 on cirelis-routes): an instance that could
+    not read the recorded states at its start wrote `running` over
+    `completed`; after the next restart, all requests were refused.
+    """
+    await site.add_backend("new1", version="v2")
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    done = {"service": "svc", "target-version": "v2", "state": "completed"}
+    site.store.put("keyed.status", "rollout/svc", json.dumps(done).encode())
+    original = store_client.StoreClient.newest
+    failures = iter([True])
+
+    async def newest(self, topic, timeout_s):
+        if topic == store_client.STATUS_TOPIC and next(failures, False):
+            return store_client.StoreFailure(
+                store_client.StoreFailureKind.REFUSED, "away"
+            )
+        return await original(self, topic, timeout_s)
+
+    monkeypatch.setattr(store_client.StoreClient, "newest", newest)
+    instance = await site.add_instance()
+    await site.ready()
+    await site.until(lambda: instance._view.target_version("svc") is None)
+    await asyncio.sleep(0.5)
+    assert _states(site) == ["completed"]
+    status, _, _ = await site.request()
+    assert status == 200
+
+
+async def test_only_version_that_is_left_serves(site):
+    await site.add_backend("new1", version="v2")
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    running = {"service": "svc", "target-version": "v2", "state": "running"}
+    site.store.put("keyed.status", "rollout/svc", json.dumps(running).encode())
+    await site.add_instance()
+    await site.ready()
+    for number in range(10):
+        status, _, _ = await site.request(request_id=f"r{number}")
+        assert status == 200
