--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -14,9 +14,9 @@
 from magnoliacrank.entry import entry_metrics
 from magnoliacrank.entry import entry_state
 from magnoliacrank.entry import event_log
-from magnoliacrank.entry import peer_beat
+from magnoliacrank.entry import heartbeat
+from magnoliacrank.entry import heartbeat_link
 from magnoliacrank.entry import peer_fetcher
-from magnoliacrank.entry import peer_link
 from magnoliacrank.entry import placer
 from magnoliacrank.entry import service_handlers
 from magnoliacrank.entry import site_reader
@@ -102,7 +102,7 @@
             bounds,
             spread,
         )
-        self._link = peer_link.PeerLink(
+        self._link = heartbeat_link.HeartbeatLink(
             settings.ip, settings.peer_port, self._roster, self, self.log, clock
         )
         self._announcer = announcer.Announcer(
@@ -115,8 +115,8 @@
         )
         self._servers = self._side_servers(limits)
         self._view.add_listener(self)
-        self._reader.set_news_handler(self._link.beat_now)
-        self._trials.set_urgent_handler(self._link.beat_now)
+        self._reader.set_news_handler(self._link.send_now)
+        self._trials.set_urgent_handler(self._link.send_now)
         self._watch_figures()
 
     @property
@@ -153,7 +153,7 @@
         """Leaves the directory and goes on serving until callers know."""
         self._is_leaving = True
         self._roster.set_own(self._own_fact(is_ready=False))
-        self._link.beat_now()
+        self._link.send_now()
         self._front.start_draining()
         self.log.event("instance leaving")
         await asyncio.sleep(_LINGER_S)
@@ -174,21 +174,21 @@
         self.log.event("instance stopped")
         self.log.close()
 
-    def next_beat(self) -> peer_beat.PeerBeat:
+    def next_heartbeat(self) -> heartbeat.Heartbeat:
         """Returns the heartbeat to send now."""
         now_s = self._clock()
         fact = self._own_fact(is_ready=self.is_ready)
         self._roster.set_own(fact)
         view = self._view
-        return peer_beat.PeerBeat(
-            format=peer_beat.FORMAT,
+        return heartbeat.Heartbeat(
+            format=heartbeat.FORMAT,
             node=fact.node,
             data_centre=fact.data_centre,
             ip=fact.ip,
             incarnation=fact.incarnation,
             is_ready=fact.is_ready,
             is_leaving=fact.is_leaving,
-            beats_often=fact.beats_often,
+            is_frequent=fact.is_frequent,
             operators_mark=view.operators.mark,
             servers_mark=view.servers.mark,
             verified_age_ms=service_handlers.verified_age_ms(
@@ -198,7 +198,7 @@
             crashes=self._state.crashes.recent(now_s),
         )
 
-    def on_beat(self, beat: peer_beat.PeerBeat) -> None:
+    def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
         """Takes in a heartbeat of another instance."""
         now_s = self._clock()
         self._roster.hear(
@@ -209,12 +209,12 @@
                 incarnation=beat.incarnation,
                 is_ready=beat.is_ready,
                 is_leaving=beat.is_leaving,
-                beats_often=beat.beats_often,
+                is_frequent=beat.is_frequent,
             ),
             now_s,
         )
-        self._reader.on_beat(beat)
-        self._trials.on_beat(beat)
+        self._reader.on_heartbeat(beat)
+        self._trials.on_heartbeat(beat)
         self._state.crashes.merge(beat.node, beat.crashes, now_s)
 
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
@@ -257,10 +257,10 @@
 
     def _own_fact(self, *, is_ready: bool) -> crew_roster.PeerFact:
         settings = self._settings
-        beats_often = False
+        is_frequent = False
         if is_ready:
             now_s = self._clock()
-            beats_often = (
+            is_frequent = (
                 self._roster.is_crew(now_s)
                 or self._roster.duty_order(now_s) == 0
             )
@@ -271,7 +271,7 @@
             incarnation=self._incarnation,
             is_ready=is_ready,
             is_leaving=self._is_leaving,
-            beats_often=beats_often,
+            is_frequent=is_frequent,
         )
 
     def _side_servers(
--- a/packages/entry/src/magnoliacrank/entry/peer_beat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -1,4 +1,4 @@
-"""PeerBeat: the heartbeat between instances, and its codec."""
+"""Heartbeat: the heartbeat between instances, and its codec."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
     """Evidence of the sender by route."""
 
 
-class PeerBeat(msgspec.Struct, array_like=True):
+class Heartbeat(msgspec.Struct, array_like=True):
     """One heartbeat."""
 
     format: int
@@ -57,7 +57,7 @@
     is_leaving: bool
     """Whether it is shutting down."""
 
-    beats_often: bool
+    is_frequent: bool
     """Whether it sends heartbeats at the crew's rate."""
 
     operators_mark: int
@@ -77,15 +77,15 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(PeerBeat)
+_DECODER = msgspec.msgpack.Decoder(Heartbeat)
 
 
-def encode(beat: PeerBeat) -> bytes:
+def encode(beat: Heartbeat) -> bytes:
     """Returns the bytes of a heartbeat."""
     return _ENCODER.encode(beat)
 
 
-def decode(data: bytes) -> PeerBeat | None:
+def decode(data: bytes) -> Heartbeat | None:
     """Returns a heartbeat, or None for bytes that are none."""
     try:
         beat = _DECODER.decode(data)
--- a/packages/entry/src/magnoliacrank/entry/peer_link.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat_link.py
@@ -1,4 +1,4 @@
-"""PeerLink: heartbeats between instances as datagrams."""
+"""HeartbeatLink: heartbeats between instances as datagrams."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from magnoliacrank.entry import heartbeat
 from magnoliacrank.entry import owned_task
-from magnoliacrank.entry import peer_beat
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,17 +22,17 @@
 """Interval of all other heartbeats."""
 
 
-class BeatSource(Protocol):
+class HeartbeatSource(Protocol):
     """Where the contents of heartbeats come from and go to."""
 
-    def next_beat(self) -> peer_beat.PeerBeat:
+    def next_heartbeat(self) -> heartbeat.Heartbeat:
         """Returns the heartbeat to send now."""
 
-    def on_beat(self, beat: peer_beat.PeerBeat) -> None:
+    def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
         """Takes in a heartbeat of another instance."""
 
 
-class PeerLink(asyncio.DatagramProtocol):
+class HeartbeatLink(asyncio.DatagramProtocol):
     """Sends and receives heartbeats; owns the socket.
 
     Args:
@@ -49,7 +49,7 @@
         ip: str,
         port: int,
         roster: crew_roster.CrewRoster,
-        source: BeatSource,
+        source: HeartbeatSource,
         log: event_log.EventLog,
         clock: Callable[[], float],
     ) -> None:
@@ -82,16 +82,16 @@
         if self._transport is not None:
             self._transport.close()
 
-    def beat_now(self) -> None:
+    def send_now(self) -> None:
         """Sends a heartbeat at the next turn of the event loop."""
         self._wake.set()
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """A datagram arrived."""
         del addr
-        beat = peer_beat.decode(data)
+        beat = heartbeat.decode(data)
         if beat is not None:
-            self._source.on_beat(beat)
+            self._source.on_heartbeat(beat)
 
     def error_received(self, exc: Exception) -> None:
         """A datagram could not be delivered; silence tells the rest."""
@@ -101,11 +101,11 @@
         number = 0
         while True:
             self._wake.clear()
-            beat = self._source.next_beat()
-            data = peer_beat.encode(beat)
+            beat = self._source.next_heartbeat()
+            data = heartbeat.encode(beat)
             for ip in self._roster.recipients(number, self._clock()):
                 self._send(data, ip)
-            interval_s = OFTEN_S if beat.beats_often else SELDOM_S
+            interval_s = OFTEN_S if beat.is_frequent else SELDOM_S
             try:
                 async with asyncio.timeout(interval_s):
                     await self._wake.wait()
--- a/packages/entry/src/magnoliacrank/entry/need.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -1,4 +1,4 @@
-"""Need: what a request needs of a server, and why it may get none."""
+"""PlacementRequest: what a request asks of a server; why it may get none."""
 
 from __future__ import annotations
 
@@ -29,8 +29,8 @@
 
 
 @attrs.frozen
-class Need:
-    """What a request needs of a server."""
+class PlacementRequest:
+    """What a request asks of a server."""
 
     service: str
     """Service that runs it."""
@@ -61,5 +61,5 @@
 
     @property
     def may_wait(self) -> bool:
-        """Whether it waits in line; else it is placed now or not at all."""
+        """Whether it waits in the queue, or is placed now or not at all."""
         return self.give_up_s > self.arrived_s
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from magnoliacrank.entry import need as needs
 from magnoliacrank.entry import owned_task
-from magnoliacrank.entry import wait_line
+from magnoliacrank.entry import placement_request as placement_requests
+from magnoliacrank.entry import wait_queue
 from magnoliacrank.policy import crowding
 from magnoliacrank.policy import drain_estimate
 from magnoliacrank.policy import placement
@@ -43,7 +43,7 @@
 """Age up to which a report is used where no health request may be sent."""
 
 _POLL_S = 0.012
-"""Interval at which the head of a line looks for a free server."""
+"""Interval at which the head of a queue looks for a free server."""
 
 _NO_SERVER_RETRY_S = 0.5
 """What a caller is told where no server is known; about one heartbeat."""
@@ -86,83 +86,90 @@
         self._data_centre = data_centre
         self._clock = clock
         self._spread = spread
-        self._lines: dict[str, wait_line.WaitLine] = {}
+        self._queues: dict[str, wait_queue.WaitQueue] = {}
         self._crowding: dict[str, crowding.Crowding] = {}
-        self._untold: set[str] = set()
+        self._without_load_reports: set[str] = set()
         self._drains: dict[str, drain_estimate.DrainEstimate] = {}
         self._asking: dict[str, asyncio.Task[None]] = {}
 
-    def line(self, service: str) -> wait_line.WaitLine:
+    def queue(self, service: str) -> wait_queue.WaitQueue:
         """Returns the requests of a service that wait."""
-        return self._lines.setdefault(service, wait_line.WaitLine())
+        return self._queues.setdefault(service, wait_queue.WaitQueue())
 
     def crowding_of(self, service: str) -> crowding.Crowding:
         """Returns how a service's servers slow down when nearly full."""
         return self._crowding.setdefault(service, crowding.Crowding())
 
     async def place(
-        self, need: needs.Need
-    ) -> backend_table.Backend | needs.Rejection:
+        self, request: placement_requests.PlacementRequest
+    ) -> backend_table.Backend | placement_requests.Rejection:
         """Finds a server, or says why there is none.
 
         Args:
-            need: What the request needs.
+            request: What the request needs.
         """
-        line = self.line(need.service)
-        if not self._candidates(need):
-            return needs.Rejection(
-                needs.NotPlaced.NO_SERVER, self._no_server_retry_s()
+        queue = self.queue(request.service)
+        if not self._candidates(request):
+            return placement_requests.Rejection(
+                placement_requests.NotPlaced.NO_SERVER,
+                self._no_server_retry_s(),
             )
-        if not line.length or not need.may_wait:
-            backend = await self._find(need)
+        if not queue.length or not request.may_wait:
+            backend = await self._find(request)
             if backend is not None:
-                return self._placed(need, backend)
-            if not need.may_wait:
-                return self._overloaded(need.service)
-        drain = self._drain(need.service)
+                return self._placed(request, backend)
+            if not request.may_wait:
+                return self._overloaded(request.service)
+        drain = self._drain(request.service)
         now_s = self._clock()
-        wait_s = drain.wait_s(line.length, now_s)
-        left_s = need.give_up_s - now_s
+        wait_s = drain.wait_s(queue.length, now_s)
+        left_s = request.give_up_s - now_s
         if wait_s > left_s or left_s <= 0:
-            return self._overloaded(need.service)
-        if not await line.enter(need.priority, need.arrived_s, left_s):
-            return self._overloaded(need.service)
+            return self._overloaded(request.service)
+        if not await queue.enter(request.priority, request.arrived_s, left_s):
+            return self._overloaded(request.service)
         try:
-            return await self._wait_for_server(need, line)
+            return await self._wait_for_server(request, queue)
         finally:
-            line.leave()
+            queue.leave()
 
     def on_finished(self, backend: backend_table.Backend) -> None:
         """Counts the end of a request at a server."""
         backend.in_flight -= 1
-        line = self._lines.get(backend.entry.service)
-        if line is not None:
-            line.on_freed()
+        queue = self._queues.get(backend.entry.service)
+        if queue is not None:
+            queue.on_freed()
 
     async def _wait_for_server(
-        self, need: needs.Need, line: wait_line.WaitLine
-    ) -> backend_table.Backend | needs.Rejection:
+        self,
+        request: placement_requests.PlacementRequest,
+        queue: wait_queue.WaitQueue,
+    ) -> backend_table.Backend | placement_requests.Rejection:
         while True:
-            backend = await self._find(need)
+            backend = await self._find(request)
             if backend is not None:
-                return self._placed(need, backend)
-            if self._clock() + _POLL_S > need.give_up_s:
-                return self._overloaded(need.service)
-            await line.until_freed(_POLL_S)
+                return self._placed(request, backend)
+            if self._clock() + _POLL_S > request.give_up_s:
+                return self._overloaded(request.service)
+            await queue.until_freed(_POLL_S)
 
     def _placed(
-        self, need: needs.Need, backend: backend_table.Backend
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
     ) -> backend_table.Backend:
         now_s = self._clock()
         backend.on_dispatch(now_s)
-        self._drain(need.service).on_dispatch(now_s)
+        self._drain(request.service).on_dispatch(now_s)
         return backend
 
-    def _overloaded(self, service: str) -> needs.Rejection:
+    def _overloaded(self, service: str) -> placement_requests.Rejection:
         retry_after_s = self._drain(service).retry_after_s(
-            self.line(service).length, self._clock(), self._spread
+            self.queue(service).length, self._clock(), self._spread
+        )
+        return placement_requests.Rejection(
+            placement_requests.NotPlaced.OVERLOADED, retry_after_s
         )
-        return needs.Rejection(needs.NotPlaced.OVERLOADED, retry_after_s)
 
     def _no_server_retry_s(self) -> float:
         return _NO_SERVER_RETRY_S * self._spread.uniform(0.6, 1.4)
@@ -170,26 +177,28 @@
     def _drain(self, service: str) -> drain_estimate.DrainEstimate:
         return self._drains.setdefault(service, drain_estimate.DrainEstimate())
 
-    async def _find(self, need: needs.Need) -> backend_table.Backend | None:
+    async def _find(
+        self, request: placement_requests.PlacementRequest
+    ) -> backend_table.Backend | None:
         """Asks servers in rounds; returns the first good one or the best."""
         plan = self._view.plan
-        service = None if plan is None else plan.services.get(need.service)
+        service = None if plan is None else plan.services.get(request.service)
         health_path = "/health" if service is None else service.health_path
-        candidates = self._candidates(need)
-        if need.service in self._untold:
+        candidates = self._candidates(request)
+        if request.service in self._without_load_reports:
             return self._find_by_own_load(candidates)
         for start in range(0, _ASKED_AT_ONCE * _ROUNDS, _ASKED_AT_ONCE):
             asked = candidates[start : start + _ASKED_AT_ONCE]
             if not asked:
                 break
-            good = await self._ask(need, asked, health_path)
+            good = await self._ask(request, asked, health_path)
             if good is not None and self._try_take(good):
                 return good
         usable = [
             (rating.order, index, backend)
             for index, backend in enumerate(candidates)
-            if (rating := self._rating(need, backend, _SEARCH_S)) is not None
-            and self._is_acceptable(need, rating)
+            if (rating := self._rating(request, backend, _SEARCH_S)) is not None
+            and self._is_acceptable(request, rating)
         ]
         for _, _, backend in sorted(usable):
             if self._try_take(backend):
@@ -225,7 +234,9 @@
         return None
 
     def _is_acceptable(
-        self, need: needs.Need, rating: placement.Rating
+        self,
+        request: placement_requests.PlacementRequest,
+        rating: placement.Rating,
     ) -> bool:
         """Whether a free but slow server is better than waiting for a good.
 
@@ -236,15 +247,15 @@
         if rating.fit > placement.Fit.SLOW:
             return False
         now_s = self._clock()
-        end_s = now_s + need.work_s * rating.cost
-        if end_s <= need.objective_s:
+        end_s = now_s + request.work_s * rating.cost
+        if end_s <= request.objective_s:
             return True
-        is_alone = self.line(need.service).length <= 1
-        return is_alone and now_s + _POLL_S > need.give_up_s
+        is_alone = self.queue(request.service).length <= 1
+        return is_alone and now_s + _POLL_S > request.give_up_s
 
     async def _ask(
         self,
-        need: needs.Need,
+        request: placement_requests.PlacementRequest,
         asked: list[backend_table.Backend],
         health_path: str,
     ) -> backend_table.Backend | None:
@@ -256,7 +267,7 @@
                 pending.add(task)
         end_s = self._clock() + _ROUND_S
         while True:
-            good = self._best_good(need, asked)
+            good = self._best_good(request, asked)
             left_s = end_s - self._clock()
             if good is not None or not pending or left_s <= 0:
                 return good
@@ -294,27 +305,32 @@
         if report is None or not report.is_healthy:
             return
         if not report.tells_load:
-            self._untold.add(backend.entry.service)
+            self._without_load_reports.add(backend.entry.service)
 
     def _best_good(
-        self, need: needs.Need, asked: Iterable[backend_table.Backend]
+        self,
+        request: placement_requests.PlacementRequest,
+        asked: Iterable[backend_table.Backend],
     ) -> backend_table.Backend | None:
         good = [
             (rating.order, index, backend)
             for index, backend in enumerate(asked)
-            if (rating := self._rating(need, backend, _SHARED_REPORT_S))
+            if (rating := self._rating(request, backend, _SHARED_REPORT_S))
             is not None
             and rating.fit is placement.Fit.GOOD
         ]
         return min(good)[2] if good else None
 
     def _rating(
-        self, need: needs.Need, backend: backend_table.Backend, max_age_s: float
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
+        max_age_s: float,
     ) -> placement.Rating | None:
         """Rates a server by a recent report; None without one.
 
         Args:
-            need: What the request needs.
+            request: What the request needs.
             backend: The server.
             max_age_s: Longest age of the report. Where no health request
                 may be sent, an older one has to do.
@@ -333,23 +349,27 @@
             report,
             backend.sent_since_report,
             backend.health.pace,
-            self.crowding_of(need.service).factor,
+            self.crowding_of(request.service).factor,
             is_remote=backend.entry.data_centre != self._data_centre,
-            body_bytes=need.body_bytes,
+            body_bytes=request.body_bytes,
         )
 
-    def _candidates(self, need: needs.Need) -> list[backend_table.Backend]:
+    def _candidates(
+        self, request: placement_requests.PlacementRequest
+    ) -> list[backend_table.Backend]:
         """Returns servers in the order in which they are to be asked."""
         now_s = self._clock()
-        target = self._view.target_version(need.service)
-        if target is not None and self._view.has_only_target(need.service):
+        target = self._view.target_version(request.service)
+        if target is not None and self._view.has_only_target(request.service):
             # The old version is gone: there is nothing to compare with.
             target = None
         entries = [
             entry
-            for entry in self._view.backends(need.service)
-            if entry.server_id not in need.excluded
-            and (target is None or (entry.version == target) == need.wants_new)
+            for entry in self._view.backends(request.service)
+            if entry.server_id not in request.excluded
+            and (
+                target is None or (entry.version == target) == request.wants_new
+            )
         ]
         backends = [self._table.find(entry) for entry in entries]
         usable = [
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -14,7 +14,7 @@
 from magnoliacrank.entry import backend_link
 from magnoliacrank.entry import dispatch as dispatches
 from magnoliacrank.entry import dispatcher
-from magnoliacrank.entry import need as needs
+from magnoliacrank.entry import placement_request as placement_requests
 from magnoliacrank.policy import repeat_allowance
 
 if TYPE_CHECKING:
@@ -103,7 +103,7 @@
     async def _attempt(self) -> Result | None:
         """Places and sends the request; None if it may be sent once more."""
         found = await self._place()
-        if isinstance(found, needs.Rejection):
+        if isinstance(found, placement_requests.Rejection):
             if self.has_been_sent or self._refusals:
                 return self._final(found.retry_after_s)
             return Result(
@@ -163,29 +163,35 @@
         crew = len(self._state.roster.whole_crew(now_s))
         return trial.wants_request(now_s, crew)
 
-    async def _place(self) -> backend_table.Backend | needs.Rejection:
+    async def _place(
+        self,
+    ) -> backend_table.Backend | placement_requests.Rejection:
         if self._is_expected_new:
             found = await self._state.placer.place(
-                self._need(wants_new=True, may_wait=self._is_taking_over())
+                self._placement_request(
+                    wants_new=True, may_wait=self._is_taking_over()
+                )
             )
-            if not isinstance(found, needs.Rejection):
+            if not isinstance(found, placement_requests.Rejection):
                 return found
         return await self._state.placer.place(
-            self._need(wants_new=False, may_wait=True)
+            self._placement_request(wants_new=False, may_wait=True)
         )
 
     def _is_taking_over(self) -> bool:
         trial = self._state.trials.trial(self._job.service)
         return trial is not None and trial.is_in_force(self._clock())
 
-    def _need(self, *, wants_new: bool, may_wait: bool) -> needs.Need:
+    def _placement_request(
+        self, *, wants_new: bool, may_wait: bool
+    ) -> placement_requests.PlacementRequest:
         job = self._job
         now_s = self._clock()
         work_s = self._state.work_s(job.rule)
         give_up_s = job.arrived_s + job.rule.target_latency_s - 1.2 * work_s
         give_up_s = max(give_up_s, now_s + _MIN_WAIT_S)
         give_up_s = min(give_up_s, job.deadline_s - 0.5 * work_s)
-        return needs.Need(
+        return placement_requests.PlacementRequest(
             service=job.service,
             priority=job.rule.priority,
             arrived_s=job.arrived_s,
@@ -251,13 +257,13 @@
     async def _find_second(self) -> backend_table.Backend | None:
         if self._clock() >= self._job.deadline_s:
             return None
-        if self._state.placer.line(self._job.service).length:
+        if self._state.placer.queue(self._job.service).length:
             # Requests that no server has yet go first.
             return None
         found = await self._state.placer.place(
-            self._need(wants_new=False, may_wait=False)
+            self._placement_request(wants_new=False, may_wait=False)
         )
-        if isinstance(found, needs.Rejection):
+        if isinstance(found, placement_requests.Rejection):
             return None
         if not self._state.try_repeat(self._job.service, Urgency.HEDGE):
             self._state.placer.on_finished(found)
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -20,8 +20,8 @@
     from collections.abc import Callable
 
     from magnoliacrank.entry import event_log
+    from magnoliacrank.entry import heartbeat
     from magnoliacrank.entry import keyed_view
-    from magnoliacrank.entry import peer_beat
     from magnoliacrank.entry import peer_fetcher
     from magnoliacrank.entry import site_view
     from magnoliacrank.platform import store_records
@@ -123,7 +123,7 @@
         """Stops reading."""
         await owned_task.stop(self._task, self._reading)
 
-    def on_beat(self, beat: peer_beat.PeerBeat) -> None:
+    def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
         """Takes in how much another instance knows."""
         if beat.verified_age_ms < 0:
             return
--- a/packages/entry/src/magnoliacrank/entry/trial_keeper.py
+++ b/packages/entry/src/magnoliacrank/entry/trial_keeper.py
@@ -7,8 +7,8 @@
 
 import attrs
 
+from magnoliacrank.entry import heartbeat
 from magnoliacrank.entry import owned_task
-from magnoliacrank.entry import peer_beat
 from magnoliacrank.model import orders
 from magnoliacrank.platform import operator_wire
 from magnoliacrank.platform import store_client
@@ -154,7 +154,7 @@
         """A request failed at a new version."""
         self._on_urgent()
 
-    def reports(self) -> list[peer_beat.TrialReport]:
+    def reports(self) -> list[heartbeat.TrialReport]:
         """Returns what heartbeats tell of roll-outs."""
         now_s = self._clock()
         return [
@@ -163,7 +163,7 @@
             if now_s < kept.trial.deadline_s + _REPORT_S
         ]
 
-    def on_beat(self, beat: peer_beat.PeerBeat) -> None:
+    def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
         """Takes in what another instance knows of roll-outs."""
         source = f"{beat.node}/{beat.incarnation}"
         for report in beat.trials:
@@ -337,7 +337,7 @@
                 )
         return found
 
-    def _report(self, kept: _Kept, now_s: float) -> peer_beat.TrialReport:
+    def _report(self, kept: _Kept, now_s: float) -> heartbeat.TrialReport:
         trial = kept.trial
         state = kept.wanted
         if (
@@ -345,7 +345,7 @@
             and kept.recorded is not state
         ):
             state = orders.RolloutState.RUNNING
-        return peer_beat.TrialReport(
+        return heartbeat.TrialReport(
             service=trial.order.service,
             order_offset=trial.order_offset,
             age_ms=round((now_s - trial.started_s) * 1000),
@@ -367,7 +367,7 @@
 
 
 def _evidence(
-    rows: list[peer_beat.EvidenceRow],
+    rows: list[heartbeat.EvidenceRow],
 ) -> dict[str, version_trial.EvidencePair]:
     return {
         route: version_trial.EvidencePair(
--- a/packages/entry/src/magnoliacrank/entry/wait_line.py
+++ b/packages/entry/src/magnoliacrank/entry/wait_queue.py
@@ -1,4 +1,4 @@
-"""WaitLine: requests of one service that wait for a backend server.
+"""WaitQueue: requests of one service that wait for a backend server.
 
 Load pattern: all servers are busy. Requests go on by priority and age, and a
 few at a time look for a free server, so that health requests stay bounded.
@@ -19,7 +19,7 @@
 Bounded, so that no rank starves another."""
 
 
-class WaitLine:
+class WaitQueue:
     """A queue by priority and arrival."""
 
     def __init__(self) -> None:
--- a/packages/policy/src/magnoliacrank/policy/crew_roster.py
+++ b/packages/policy/src/magnoliacrank/policy/crew_roster.py
@@ -59,7 +59,7 @@
     is_leaving: bool
     """Whether it is shutting down."""
 
-    beats_often: bool
+    is_frequent: bool
     """Whether it sends heartbeats at the crew's rate."""
 
 
@@ -249,15 +249,15 @@
 
     def _is_heard(self, member: _Member, now_s: float) -> bool:
         is_local = member.fact.data_centre == self._own.data_centre
-        limit_s = _SILENCE_S[is_local, member.fact.beats_often]
+        limit_s = _SILENCE_S[is_local, member.fact.is_frequent]
         return now_s - member.heard_s <= limit_s
 
     def _every(self, fact: PeerFact | None) -> int:
-        is_often = self._own.beats_often
+        is_often = self._own.is_frequent
         if fact is None:
             return _EVERY[is_often, False, False]
         is_local = fact.data_centre == self._own.data_centre
-        return _EVERY[is_often, is_local, fact.beats_often]
+        return _EVERY[is_often, is_local, fact.is_frequent]
 
     def _crew_of(
         self, alive: list[PeerFact], data_centre: str
--- a/packages/policy/tests/test_crew_roster.py
+++ b/packages/policy/tests/test_crew_roster.py
@@ -48,12 +48,12 @@
     [
         (_fact(1), 0.6, True),
         (_fact(1), 0.8, False),
-        (_fact(1, beats_often=False), 3.4, True),
-        (_fact(1, beats_often=False), 3.6, False),
+        (_fact(1, is_frequent=False), 3.4, True),
+        (_fact(1, is_frequent=False), 3.6, False),
         (_fact(1, "b"), 3.4, True),
         (_fact(1, "b"), 3.6, False),
-        (_fact(1, "b", beats_often=False), 6.9, True),
-        (_fact(1, "b", beats_often=False), 7.1, False),
+        (_fact(1, "b", is_frequent=False), 6.9, True),
+        (_fact(1, "b", is_frequent=False), 7.1, False),
         (_fact(1, is_leaving=True), 0.0, False),
         (_fact(1, is_ready=False), 0.0, False),
     ],
@@ -67,7 +67,7 @@
 
 def test_heartbeats_to_other_data_centres_are_fewer():
     local, crew = _fact(1), _fact(2, "b")
-    other = _fact(3, "b", beats_often=False)
+    other = _fact(3, "b", is_frequent=False)
     roster = _roster(local, crew, other)
     roster.introduce("10.0.0.9", 0.0)
     counts = {}
