--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -5,13 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from magnoliacrank.entry import cold_gate
 from magnoliacrank.entry import owned_task
 from magnoliacrank.entry import placement_request as placement_requests
 from magnoliacrank.entry import wait_queue
 from magnoliacrank.policy import crowding
 from magnoliacrank.policy import drain_estimate
 from magnoliacrank.policy import placement
-from magnoliacrank.policy import rate_bucket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +21,6 @@
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import site_view
-    from magnoliacrank.model import backend_entry
     from magnoliacrank.policy import crew_roster
 
 _ASKED_AT_ONCE = 3
@@ -48,13 +47,6 @@
 _NO_SERVER_RETRY_S = 0.5
 """What a caller is told where no server is known; about one heartbeat."""
 
-_COLD_RATE_SHARE = 0.85
-"""Part of a cold server's rate that its owner uses. Two instances that both
-hold themselves to be its owner stay below the operators' bound."""
-
-_COLD_BURST = 1.0
-"""Requests to a cold server at once."""
-
 
 class Placer:
     """Chooses servers by asking a few of them for their load.
@@ -82,7 +74,7 @@
         self._log = log
         self._view = view
         self._table = table
-        self._roster = roster
+        self._cold = cold_gate.ColdGate(view, roster)
         self._data_centre = data_centre
         self._clock = clock
         self._spread = spread
@@ -343,7 +335,7 @@
             max_age_s = _STALE_REPORT_S
         if now_s - backend.report_s > max_age_s:
             return None
-        if backend.is_cold(now_s) and not self._may_use_cold(backend, now_s):
+        if not self._cold.may_use(backend, now_s):
             return None
         return placement.rate(
             report,
@@ -375,7 +367,7 @@
         usable = [
             backend
             for backend in backends
-            if not backend.is_cold(now_s) or self._may_use_cold(backend, now_s)
+            if self._cold.may_use(backend, now_s)
         ]
         keyed = [
             (self._preference(backend, now_s), self._spread.random(), backend)
@@ -396,40 +388,8 @@
             backend.in_flight >= entry.slots,
         )
 
-    def _may_use_cold(
-        self, backend: backend_table.Backend, now_s: float
-    ) -> bool:
-        bucket = self._cold_bucket(backend)
-        return bucket.has_token(now_s) and self._is_owner(backend.entry, now_s)
-
     def _try_take(self, backend: backend_table.Backend) -> bool:
         """Takes a server, unless it left or turned cold meanwhile."""
-        now_s = self._clock()
         if not self._view.is_usable(backend.entry):
             return False
-        if not backend.is_cold(now_s):
-            return True
-        if not self._is_owner(backend.entry, now_s):
-            return False
-        return self._cold_bucket(backend).try_take(now_s)
-
-    def _is_owner(
-        self, entry: backend_entry.BackendEntry, now_s: float
-    ) -> bool:
-        return self._roster.is_owner(entry.server_id, entry.data_centre, now_s)
-
-    def _cold_bucket(
-        self, backend: backend_table.Backend
-    ) -> rate_bucket.RateBucket:
-        if backend.cold_bucket is None:
-            plan = self._view.plan
-            service = (
-                None
-                if plan is None
-                else plan.services.get(backend.entry.service)
-            )
-            rate_per_s = 1.0 if service is None else service.warmup_per_s
-            backend.cold_bucket = rate_bucket.RateBucket(
-                rate_per_s * _COLD_RATE_SHARE, _COLD_BURST
-            )
-        return backend.cold_bucket
+        return self._cold.try_take(backend, self._clock())
--- /dev/null
+++ b/packages/entry/tests/test_wait_queue.py
@@ -0,0 +1,66 @@
+"""Tests of the queue of requests that wait for a server."""
+
+import asyncio
+
+from magnoliacrank.entry import wait_queue
+from magnoliacrank.standins import virtual_time
+
+
+def test_requests_go_on_by_priority_and_age():
+    async def play():
+        queue = wait_queue.WaitQueue()
+        for _ in range(wait_queue.WIDTH):
+            assert await queue.enter(0, 0.0, 1.0)
+        order = []
+
+        async def wait(name, priority, arrived_s):
+            assert await queue.enter(priority, arrived_s, 5.0)
+            order.append(name)
+
+        waits = [
+            asyncio.ensure_future(wait("urgent, late", 0, 1.05)),
+            asyncio.ensure_future(wait("other, early", 2, 0.5)),
+            asyncio.ensure_future(wait("other, late", 2, 1.0)),
+        ]
+        await asyncio.sleep(0)
+        for _ in waits:
+            queue.leave()
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*waits)
+        return order
+
+    order = virtual_time.run(play())
+    assert order == ["other, early", "urgent, late", "other, late"]
+
+
+def test_request_that_gave_up_is_passed_over():
+    async def play():
+        queue = wait_queue.WaitQueue()
+        for _ in range(wait_queue.WIDTH):
+            await queue.enter(0, 0.0, 1.0)
+        assert not await queue.enter(0, 0.0, 0.1)
+        later = asyncio.ensure_future(queue.enter(0, 0.5, 1.0))
+        await asyncio.sleep(0)
+        queue.leave()
+        assert await later
+        for _ in range(wait_queue.WIDTH):
+            queue.leave()
+        assert queue.length == 0
+
+    virtual_time.run(play())
+
+
+def test_caller_that_left_with_its_turn_hands_it_on():
+    async def play():
+        queue = wait_queue.WaitQueue()
+        for _ in range(wait_queue.WIDTH):
+            await queue.enter(0, 0.0, 1.0)
+        first = asyncio.ensure_future(queue.enter(0, 0.1, 1.0))
+        second = asyncio.ensure_future(queue.enter(0, 0.2, 1.0))
+        await asyncio.sleep(0)
+        queue.leave()
+        first.cancel()
+        assert await second
+        await asyncio.gather(first, return_exceptions=True)
+
+    virtual_time.run(play())
