--- a/packages/policy/src/magnoliacrank/policy/crew_roster.py
+++ b/packages/policy/src/magnoliacrank/policy/crew_roster.py
@@ -32,9 +32,9 @@
 """Least instances that carry a data centre's traffic; one loss leaves one."""
 
 SERVERS_PER_MEMBER = 8
-"""Backend servers of a data centre for each member of its crew. An instance
-carries 100 requests a second in half of its processor, which is what about
-eight servers answer at their usual load."""
+"""Backend servers of a data centre for each member of its crew. An estimate,
+not a measurement: 100 requests a second in half of an instance's processor are
+about what eight servers answer at their usual load."""
 
 
 @attrs.frozen
