--- a/packages/entry/src/magnoliacrank/entry/backend_link.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_link.py
@@ -111,7 +111,6 @@
         self,
         request: Sendable,
         timeout_s: float,
-        on_sent: Callable[[], None] = lambda: None,
     ) -> WholeAnswer | ExchangeFailure:
         """Sends a request and reads its whole answer.
 
@@ -120,7 +119,6 @@
         Args:
             request: The request.
             timeout_s: Longest time until the answer is whole.
-            on_sent: Called when the request may have left.
 
         Returns:
             The answer or why there is none.
@@ -134,7 +132,6 @@
             connection = opened
         try:
             async with asyncio.timeout(deadline_s - time.monotonic()):
-                on_sent()
                 return await self._run(connection, request, deadline_s)
         except TimeoutError:
             connection.retire(FailureKind.TIMEOUT)
