Log a span for each hop of a request; show them in explain

Cause: house style asks for traces with a span for each hop; log lines told only how a request ended and which dispatches failed, not where its time went.

Change: each request carries a trace (reading, placement, each dispatch). The line that ends it shows the spans: refusals and callers that left always, successes in the same sample as before. `explain` prints a line for each.

Ruled out: trace headers of our own towards backend servers.

--- a/packages/cli/src/magnoliacrank/cli/explain.py
+++ b/packages/cli/src/magnoliacrank/cli/explain.py
@@ -17,7 +17,9 @@
 """Exit code when no line names the request."""
 
 _LEFT_OUT = "log lines left out"
-_OMITTED = frozenset({"request_id", "time", "event", "level", "instance"})
+_OMITTED = frozenset(
+    {"request_id", "time", "event", "level", "instance", "spans"}
+)
 
 
 @attrs.define
@@ -75,7 +77,10 @@
 
 def format_story(story: Story) -> list[str]:
     """Returns the story as lines of text."""
-    found = [_format(fields) for fields in story.lines]
+    found = []
+    for fields in story.lines:
+        found.append(_format(fields))
+        found += _format_spans(fields.get("spans"))
     if not found:
         found.append("no line names this request")
         found.append(
@@ -110,3 +115,14 @@
         f"{fields.get('time', '?')} {fields.get('instance', '?')} "
         f"{fields.get('event', '?')}: {details}"
     )
+
+
+def _format_spans(spans: object) -> list[str]:
+    """Returns a line for each span, indented below the line of the request."""
+    if not isinstance(spans, list):
+        return []
+    return [
+        "    " + " ".join(f"{name}={value}" for name, value in span.items())
+        for span in spans
+        if isinstance(span, dict)
+    ]
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -30,6 +30,20 @@
     assert "unreadable lines: 2" in text
 
 
+def test_story_shows_a_line_for_each_span():
+    line = (
+        '{"time": "1", "event": "request refused", "request_id": "r1", '
+        '"spans": [{"hop": "place", "start_s": 0.1, "outcome": "found"}, '
+        '{"hop": "dispatch", "start_s": 0.2, "server": "i-1"}, 7]}'
+    )
+    shown = explain.format_story(explain.read_story([line], "r1"))
+    assert shown[1:] == [
+        "    hop=place start_s=0.1 outcome=found",
+        "    hop=dispatch start_s=0.2 server=i-1",
+    ]
+    assert "spans" not in shown[0]
+
+
 def test_unknown_request_says_what_may_be_missing():
     story = explain.read_story(LINES, "r9")
     text = "\n".join(explain.format_story(story))
--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -7,6 +7,7 @@
 
 from magnoliacrank.entry import backend_link
 from magnoliacrank.entry import dispatch as dispatches
+from magnoliacrank.entry import request_trace
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import outbound_head
 from magnoliacrank.platform import request_wire
@@ -63,6 +64,7 @@
         )
         if trial is not None and is_new:
             trial.on_sent()
+        span = job.trace.begin(request_trace.Hop.DISPATCH, entry.server_id)
         outcome: Exchanged
         report = backend.report
         slowdown = report.slowdown if report else 1.0
@@ -74,9 +76,11 @@
             )
         except asyncio.CancelledError:
             # Another server was faster, or the caller left.
+            job.trace.end(span, "cancelled")
             self._learn_pace(backend, self._clock() - sent_s, slowdown, busy)
             raise
         dispatch = dispatches.judge(outcome)
+        job.trace.end(span, dispatch.reason)
         duration_s = self._clock() - sent_s
         self._learn(backend, dispatch, duration_s, slowdown, busy, outcome)
         if trial is not None and dispatch.verdict is not Verdict.NOT_RUN:
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -13,6 +13,7 @@
 from magnoliacrank.entry import dispatch as dispatches
 from magnoliacrank.entry import job as jobs
 from magnoliacrank.entry import request_carrier
+from magnoliacrank.entry import request_trace
 from magnoliacrank.gateway import body as bodies
 from magnoliacrank.gateway import framing
 from magnoliacrank.platform import request_wire
@@ -79,19 +80,20 @@
     ) -> None:
         """Answers one request."""
         arrived_s = self._state.clock()
+        trace = request_trace.RequestTrace(arrived_s, self._state.clock)
         await self._reader.refresh_for_request()
         rule = await self._find_route(exchange)
         if isinstance(rule, _Refusal):
-            await self._refuse(exchange, rule, None, arrived_s)
+            await self._refuse(exchange, rule, None, trace)
             return
         size = exchange.body_length or 0
         if self._held_bytes + size > _BODY_MEMORY_BYTES:
             refusal = _Refusal(503, "body-memory", _NO_PLAN_RETRY_S)
-            await self._refuse(exchange, refusal, rule, arrived_s)
+            await self._refuse(exchange, refusal, rule, trace)
             return
         self._held_bytes += size
         try:
-            await self._serve(exchange, rule, arrived_s, size)
+            await self._serve(exchange, rule, trace, size)
         finally:
             self._held_bytes -= size
 
@@ -118,27 +120,29 @@
         self,
         exchange: inbound_exchange.InboundExchange,
         rule: route_plan.RouteRule,
-        arrived_s: float,
+        trace: request_trace.RequestTrace,
         stated_bytes: int,
     ) -> None:
         plan = self._view.plan
         assert plan is not None, "a route was found"
         room = _BODY_MEMORY_BYTES - self._held_bytes + stated_bytes
         limit = min(plan.limits.max_body_bytes, room)
+        reading = trace.begin(request_trace.Hop.READ)
         body = await exchange.read_body(limit)
         refusal = _check_body(body, is_short_of_memory=limit == room)
+        trace.end(reading, "whole" if refusal is None else refusal.reason)
         if refusal is not None:
-            await self._refuse(exchange, refusal, rule, arrived_s)
+            await self._refuse(exchange, refusal, rule, trace)
             return
         assert isinstance(body, bytes)
-        job = self._prepare(exchange, rule, body, arrived_s)
+        job = self._prepare(exchange, rule, body, trace)
         now_s = self._state.clock()
         if job.deadline_s - now_s < _SHORTEST_S:
             refusal = _Refusal(503, "deadline-passed", 0.0)
         elif self._state.crashes.is_blocked(job.fingerprint, now_s):
             refusal = _Refusal(503, "crashes-servers", _CRASH_RETRY_S)
         if refusal is not None:
-            await self._refuse(exchange, refusal, rule, arrived_s)
+            await self._refuse(exchange, refusal, rule, trace)
             return
         carrier = request_carrier.RequestCarrier(self._state, job)
         result = await self._carry(exchange, carrier, job)
@@ -150,7 +154,7 @@
         exchange: inbound_exchange.InboundExchange,
         rule: route_plan.RouteRule,
         body: bytes,
-        arrived_s: float,
+        trace: request_trace.RequestTrace,
     ) -> jobs.Job:
         headers = exchange.headers
         patience_s = request_wire.read_deadline_s(headers)
@@ -166,9 +170,10 @@
             target=exchange.target,
             headers=tuple(_TO_SERVER.apply(headers)),
             body=body,
-            arrived_s=arrived_s,
-            deadline_s=arrived_s + patience_s,
+            arrived_s=trace.arrived_s,
+            deadline_s=trace.arrived_s + patience_s,
             fingerprint=digest.hexdigest(),
+            trace=trace,
         )
 
     async def _carry(
@@ -196,7 +201,9 @@
         except asyncio.CancelledError:
             if not exchange.is_caller_gone:
                 raise
-            self._state.log.request("caller left", job.request_id)
+            self._state.log.request(
+                "caller left", job.request_id, spans=job.trace.fields
+            )
             self._state.metrics.on_request(job.rule.name, "caller-left", 0.0)
             return None
         return result
@@ -210,7 +217,7 @@
         answer = result.answer
         if answer is None:
             refusal = _to_refusal(result, job, self._state.clock())
-            await self._refuse(exchange, refusal, job.rule, job.arrived_s)
+            await self._refuse(exchange, refusal, job.rule, job.trace)
             return
         duration_s = self._state.clock() - job.arrived_s
         outcome = result.verdict.value
@@ -221,6 +228,7 @@
                 route=job.rule.name,
                 status=answer.status,
                 duration_s=round(duration_s, 4),
+                spans=job.trace.fields,
             )
         length = len(answer.content)
         if exchange.method == hdrs.METH_HEAD:
@@ -235,10 +243,10 @@
         exchange: inbound_exchange.InboundExchange,
         refusal: _Refusal,
         rule: route_plan.RouteRule | None,
-        arrived_s: float,
+        trace: request_trace.RequestTrace,
     ) -> None:
         state = self._state
-        duration_s = state.clock() - arrived_s
+        duration_s = state.clock() - trace.arrived_s
         route = "" if rule is None else rule.name
         state.metrics.on_refusal(refusal.reason)
         state.metrics.on_request(route, str(refusal.status), duration_s)
@@ -250,6 +258,7 @@
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
             duration_s=round(duration_s, 4),
+            spans=trace.fields,
         )
         fields = [("Content-Type", "application/json")]
         if refusal.retry_after_s is not None:
--- a/packages/entry/src/magnoliacrank/entry/job.py
+++ b/packages/entry/src/magnoliacrank/entry/job.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from magnoliacrank.entry import request_trace
 from magnoliacrank.model import route_plan
 
 
@@ -41,6 +42,9 @@
     fingerprint: str
     """Identity of its content and caller."""
 
+    trace: request_trace.RequestTrace
+    """Where its time was spent."""
+
     @property
     def is_idempotent(self) -> bool:
         """Whether it may run more than once."""
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -15,6 +15,7 @@
 from magnoliacrank.entry import dispatch as dispatches
 from magnoliacrank.entry import dispatcher
 from magnoliacrank.entry import placement_request as placement_requests
+from magnoliacrank.entry import request_trace
 from magnoliacrank.policy import repeat_allowance
 
 if TYPE_CHECKING:
@@ -102,8 +103,11 @@
 
     async def _attempt(self) -> Result | None:
         """Places and sends the request; None if it may be sent once more."""
+        trace = self._job.trace
+        placing = trace.begin(request_trace.Hop.PLACE)
         found = await self._place()
         if isinstance(found, placement_requests.Rejection):
+            trace.end(placing, found.reason.value)
             if self.has_been_sent or self._refusals:
                 return self._final(found.retry_after_s)
             return Result(
@@ -111,6 +115,7 @@
                 found.reason.value,
                 retry_after_s=found.retry_after_s,
             )
+        trace.end(placing, "found")
         dispatch = await self._dispatch_hedged(found)
         return self._settle(dispatch)
 
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -25,6 +25,7 @@
     def __init__(self):
         super().__init__("test", "a", lambda: 0.0)
         self.lines = []
+        self.successes = []
 
     def start(self):
         pass
@@ -38,6 +39,9 @@
     def warning(self, name, **fields):
         self.lines.append((name, fields))
 
+    def success(self, request_id, **fields):
+        self.successes.append(fields)
+
     def names(self):
         return [name for name, _ in self.lines]
 
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -8,6 +8,7 @@
 from magnoliacrank.entry import entry_handler
 from magnoliacrank.entry import job as jobs
 from magnoliacrank.entry import request_carrier
+from magnoliacrank.entry import request_trace
 from magnoliacrank.platform import store_client
 from magnoliacrank.standins import platform_backend
 from magnoliacrank.standins import platform_store
@@ -465,6 +466,7 @@
         arrived_s=instance._clock(),
         deadline_s=instance._clock() + 1.0,
         fingerprint="f",
+        trace=request_trace.RequestTrace(instance._clock(), instance._clock),
     )
     carrier = request_carrier.RequestCarrier(instance._state, job)
     known.on_dispatch(instance._clock())
@@ -561,3 +563,41 @@
     for number in range(10):
         status, _, _ = await site.request(request_id=f"r{number}")
         assert status == 200
+
+
+async def test_refused_request_logs_a_span_for_each_hop(site):
+    backend = await site.add_backend("s1")
+    backend.fault = platform_backend.BackendFault.LOSE
+    await site.add_instance()
+    await site.ready()
+    status, _, _ = await site.request("/write/1", "POST", data=b"x")
+    assert status == 502
+    (line,) = [
+        fields
+        for name, fields in site.logs[0].lines
+        if name == "request refused"
+    ]
+    spans = line["spans"]
+    assert [span["hop"] for span in spans] == ["read", "place", "dispatch"]
+    assert spans[2]["server"] == "s1"
+    assert spans[2]["outcome"] == "connection-lost"
+    starts = [span["start_s"] for span in spans]
+    assert starts == sorted(starts)
+    whole_s = sum(span["duration_s"] for span in spans)
+    assert whole_s <= line["duration_s"] + 0.01
+
+
+async def test_hedged_request_ends_the_span_of_the_slower_server(site):
+    slow = await site.add_backend("s1")
+    instance = await site.add_instance()
+    await site.ready()
+    slow.work_s = 1.0
+    await site.add_backend("s2")
+    await site.until(lambda: instance._view.entry("s2"))
+    site.logs[0].successes.clear()
+    for number in range(6):
+        await site.request(request_id=f"r{number}")
+    spans = [span for line in site.logs[0].successes for span in line["spans"]]
+    outcomes = {(span.get("server"), span.get("outcome")) for span in spans}
+    assert ("s1", "cancelled") in outcomes
+    assert ("s2", "status-200") in outcomes
