Log late answers with their spans and what was known of each server

Cause: a late answer was logged only when its last dispatch alone was late, so time lost before it (reading, waiting, placement) did not show.

Change: lateness is judged where the answer goes out, against the whole time; each dispatch span tells slowdown, load, pace and age of the report that decided. `EventLog.success` became `is_sampled`, so the caller builds fields only for lines that are written.

Tests: an answer beyond its objective is logged as late, one within it not.

--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -64,11 +64,9 @@
         )
         if trial is not None and is_new:
             trial.on_sent()
-        span = job.trace.begin(request_trace.Hop.DISPATCH, entry.server_id)
+        choice = _describe(backend, sent_s)
+        span = job.trace.begin(request_trace.Hop.DISPATCH, choice)
         outcome: Exchanged
-        report = backend.report
-        slowdown = report.slowdown if report else 1.0
-        busy = report.running + backend.sent_since_report if report else 0
         try:
             outcome = await backend.link.exchange(
                 self._sendable(backend),
@@ -77,12 +75,12 @@
         except asyncio.CancelledError:
             # Another server was faster, or the caller left.
             job.trace.end(span, "cancelled")
-            self._learn_pace(backend, self._clock() - sent_s, slowdown, busy)
+            self._learn_pace(backend, self._clock() - sent_s, choice)
             raise
         dispatch = dispatches.judge(outcome)
         job.trace.end(span, dispatch.reason)
         duration_s = self._clock() - sent_s
-        self._learn(backend, dispatch, duration_s, slowdown, busy, outcome)
+        self._learn(backend, dispatch, duration_s, choice, outcome)
         if trial is not None and dispatch.verdict is not Verdict.NOT_RUN:
             _teach(trial, job.rule.name, dispatch, duration_s, is_new=is_new)
             if is_new and dispatch.verdict is not Verdict.ANSWERED:
@@ -110,8 +108,7 @@
         backend: backend_table.Backend,
         dispatch: dispatches.Dispatch,
         duration_s: float,
-        slowdown: float,
-        busy: int,
+        choice: request_trace.Choice,
         outcome: Exchanged,
     ) -> None:
         state = self._state
@@ -120,10 +117,8 @@
         backend.health.on_outcome(_OUTCOMES[dispatch.verdict], now_s)
         if dispatch.verdict is Verdict.ANSWERED:
             state.crashes.on_answered(job.fingerprint)
-            self._learn_pace(backend, duration_s, slowdown, busy)
-            if duration_s > job.rule.target_latency_s:
-                self._log_late(backend, duration_s, slowdown)
-            state.on_work(job.rule, duration_s / max(slowdown, 1.0))
+            self._learn_pace(backend, duration_s, choice)
+            state.on_work(job.rule, duration_s / max(choice.slowdown, 1.0))
             return
         if (
             isinstance(outcome, exchange_failure.ExchangeFailure)
@@ -140,35 +135,34 @@
             route=job.rule.name,
         )
 
-    def _log_late(
-        self,
-        backend: backend_table.Backend,
-        duration_s: float,
-        slowdown: float,
-    ) -> None:
-        self._state.log.request(
-            "answer late",
-            self._job.request_id,
-            server=backend.entry.server_id,
-            route=self._job.rule.name,
-            duration_s=round(duration_s, 4),
-            slowdown=slowdown,
-            in_flight=backend.in_flight,
-            pace=round(backend.health.pace, 2),
-        )
-
     def _learn_pace(
         self,
         backend: backend_table.Backend,
         duration_s: float,
-        slowdown: float,
-        busy: int,
+        choice: request_trace.Choice,
     ) -> None:
-        expected_s = self._state.work_s(self._job.rule) * slowdown
+        expected_s = self._state.work_s(self._job.rule) * choice.slowdown
         ratio = duration_s / max(expected_s, 1e-3)
         backend.health.on_duration(ratio)
         crowding = self._state.placer.crowding_of(self._job.service)
-        crowding.on_duration(busy, backend.entry.slots, ratio)
+        crowding.on_duration(choice.busy, backend.entry.slots, ratio)
+
+
+def _describe(
+    backend: backend_table.Backend, now_s: float
+) -> request_trace.Choice:
+    report = backend.report
+    slowdown, busy = 1.0, 0
+    if report is not None:
+        slowdown = report.slowdown
+        busy = report.running + backend.sent_since_report
+    return request_trace.Choice(
+        server_id=backend.entry.server_id,
+        slowdown=slowdown,
+        busy=busy,
+        pace=backend.health.pace,
+        report_age_s=now_s - backend.report_s,
+    )
 
 
 def _teach(
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -223,13 +223,7 @@
         outcome = result.verdict.value
         self._state.metrics.on_request(job.rule.name, outcome, duration_s)
         if result.verdict is Verdict.ANSWERED:
-            self._state.log.success(
-                job.request_id,
-                route=job.rule.name,
-                status=answer.status,
-                duration_s=round(duration_s, 4),
-                spans=job.trace.fields,
-            )
+            self._log_answer(job, answer.status, duration_s)
         length = len(answer.content)
         if exchange.method == hdrs.METH_HEAD:
             length = int(answer.headers.get(hdrs.CONTENT_LENGTH, "0"))
@@ -238,6 +232,22 @@
         await exchange.write(answer.content)
         await exchange.finish()
 
+    def _log_answer(
+        self, job: jobs.Job, status: int, duration_s: float
+    ) -> None:
+        log = self._state.log
+        is_late = duration_s > job.rule.target_latency_s
+        if not is_late and not log.is_sampled(job.request_id):
+            return
+        log.request(
+            "answer late" if is_late else "request answered",
+            job.request_id,
+            route=job.rule.name,
+            status=status,
+            duration_s=round(duration_s, 4),
+            spans=job.trace.fields,
+        )
+
     async def _refuse(
         self,
         exchange: inbound_exchange.InboundExchange,
--- a/packages/entry/src/magnoliacrank/entry/event_log.py
+++ b/packages/entry/src/magnoliacrank/entry/event_log.py
@@ -131,19 +131,17 @@
         self._written += 1
         self.event(name, request_id=request_id, **fields)
 
-    def success(self, request_id: str, **fields: Any) -> None:
-        """Writes a line about some of the requests that simply succeeded.
+    def is_sampled(self, request_id: str) -> bool:
+        """Whether the ordinary success of a request is logged.
 
         The choice depends on the request alone, so it is the same on each
         hop.
 
         Args:
             request_id: Identity of the request.
-            fields: Inputs and outcome.
         """
         digest = xxhash.xxh32_intdigest(request_id.encode()) % _MODULUS
-        if digest % _SAMPLING == 0:
-            self.request("request answered", request_id, **fields)
+        return digest % _SAMPLING == 0
 
     def _report_left_out(self) -> None:
         if self._written >= _LINES_PER_S:
--- a/packages/entry/src/magnoliacrank/entry/request_trace.py
+++ b/packages/entry/src/magnoliacrank/entry/request_trace.py
@@ -25,6 +25,26 @@
     """One backend server, from sending to the end of its answer."""
 
 
+@attrs.frozen
+class Choice:
+    """What was known of a backend server when a request was sent to it."""
+
+    server_id: str
+    """Identity of the server."""
+
+    slowdown: float
+    """How long work takes there, as it reported; 1.0 is as usual."""
+
+    busy: int
+    """Requests that it was running, as far as is known."""
+
+    pace: float
+    """Duration of its work against what it promises."""
+
+    report_age_s: float
+    """Seconds since it reported its load."""
+
+
 @attrs.define
 class Span:
     """Time that a request spent on one hop."""
@@ -35,30 +55,35 @@
     start_s: float
     """Seconds from the request's arrival to the start of the span."""
 
+    choice: Choice | None = None
+    """The backend server, for a dispatch."""
+
     duration_s: float | None = None
     """Length in seconds; None for a hop that has not ended."""
 
-    server: str = ""
-    """Identity of the backend server, for a dispatch."""
-
     outcome: str = ""
     """How the hop ended."""
 
     @property
     def fields(self) -> dict[str, Any]:
         """What a log line shows of it."""
-        shown = {
+        shown: dict[str, Any] = {
             "hop": self.hop.value,
             "start_s": round(self.start_s, 4),
-            "duration_s": _rounded(self.duration_s),
-            "server": self.server,
-            "outcome": self.outcome,
-        }
-        return {
-            name: value
-            for name, value in shown.items()
-            if value not in ("", None)
         }
+        choice = self.choice
+        if choice is not None:
+            shown |= {
+                "server": choice.server_id,
+                "slowdown": choice.slowdown,
+                "busy": choice.busy,
+                "pace": round(choice.pace, 2),
+                "report_age_s": round(choice.report_age_s, 4),
+            }
+        if self.duration_s is not None:
+            shown["duration_s"] = round(self.duration_s, 4)
+            shown["outcome"] = self.outcome
+        return shown
 
 
 class RequestTrace:
@@ -87,14 +112,14 @@
         """What a log line shows of the spans."""
         return [span.fields for span in self._spans]
 
-    def begin(self, hop: Hop, server: str = "") -> Span:
+    def begin(self, hop: Hop, choice: Choice | None = None) -> Span:
         """Starts a span.
 
         Args:
             hop: What the time is spent on.
-            server: Identity of the backend server, for a dispatch.
+            choice: The backend server, for a dispatch.
         """
-        span = Span(hop, self._clock() - self._arrived_s, server=server)
+        span = Span(hop, self._clock() - self._arrived_s, choice)
         self._spans.append(span)
         return span
 
@@ -107,7 +132,3 @@
         """
         span.duration_s = self._clock() - self._arrived_s - span.start_s
         span.outcome = outcome
-
-
-def _rounded(duration_s: float | None) -> float | None:
-    return None if duration_s is None else round(duration_s, 4)
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -25,7 +25,6 @@
     def __init__(self):
         super().__init__("test", "a", lambda: 0.0)
         self.lines = []
-        self.successes = []
 
     def start(self):
         pass
@@ -39,8 +38,8 @@
     def warning(self, name, **fields):
         self.lines.append((name, fields))
 
-    def success(self, request_id, **fields):
-        self.successes.append(fields)
+    def is_sampled(self, request_id):
+        return True
 
     def names(self):
         return [name for name, _ in self.lines]
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -594,10 +594,32 @@
     slow.work_s = 1.0
     await site.add_backend("s2")
     await site.until(lambda: instance._view.entry("s2"))
-    site.logs[0].successes.clear()
     for number in range(6):
         await site.request(request_id=f"r{number}")
-    spans = [span for line in site.logs[0].successes for span in line["spans"]]
+    spans = [
+        span
+        for name, line in site.logs[0].lines
+        if name in ("request answered", "answer late")
+        for span in line["spans"]
+    ]
     outcomes = {(span.get("server"), span.get("outcome")) for span in spans}
     assert ("s1", "cancelled") in outcomes
     assert ("s2", "status-200") in outcomes
+
+
+@pytest.mark.parametrize(
+    ("work_s", "event"), [(0.005, "request answered"), (0.5, "answer late")]
+)
+async def test_answer_beyond_its_objective_is_logged_as_late(
+    site, work_s, event
+):
+    backend = await site.add_backend("s1")
+    await site.add_instance()
+    await site.ready()
+    backend.work_s = work_s
+    status, _, _ = await site.request("/write/1", "POST", data=b"x")
+    assert status == 200
+    (line,) = [fields for name, fields in site.logs[0].lines if name == event]
+    (sent,) = [span for span in line["spans"] if span["hop"] == "dispatch"]
+    assert sent["slowdown"] == 1.0
+    assert 0.0 <= sent["report_age_s"] < 0.2
