--- a/packages/entry/src/magnoliacrank/entry/backend_link.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_link.py
@@ -14,7 +14,6 @@
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import outbound_head
 from magnoliacrank.gateway import server_connection
-from magnoliacrank.gateway import socket_options
 from magnoliacrank.platform import request_wire
 
 if TYPE_CHECKING:
@@ -207,21 +206,10 @@
     async def _open(
         self, timeout_s: float
     ) -> server_connection.ServerConnection | ExchangeFailure:
-        loop = asyncio.get_running_loop()
         self._on_opened()
-        try:
-            async with asyncio.timeout(timeout_s):
-                transport, connection = await loop.create_connection(
-                    lambda: server_connection.ServerConnection(
-                        self, loop, allows_close=True
-                    ),
-                    self._host,
-                    self._port,
-                )
-        except TimeoutError:
-            return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
-        except OSError:
-            return ExchangeFailure(FailureKind.CONNECT_FAILED)
-        socket_options.notice_lost_peer(transport)
-        self._busy.add(connection)
+        connection = await server_connection.open_connection(
+            self, self._host, self._port, timeout_s, allows_close=True
+        )
+        if not isinstance(connection, ExchangeFailure):
+            self._busy.add(connection)
         return connection
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -7,6 +7,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import attrs
+
 from magnoliacrank.entry import announcer
 from magnoliacrank.entry import backend_table
 from magnoliacrank.entry import clocks
@@ -182,14 +184,7 @@
         view = self._view
         return heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
-            node=fact.node,
-            data_centre=fact.data_centre,
-            ip=fact.ip,
-            incarnation=fact.incarnation,
-            is_ready=fact.is_ready,
-            is_leaving=fact.is_leaving,
-            is_frequent=fact.is_frequent,
-            capacity=fact.capacity,
+            sender=attrs.astuple(fact),
             operators_mark=view.operators.mark,
             servers_mark=view.servers.mark,
             verified_age_ms=service_handlers.verified_age_ms(
@@ -202,22 +197,11 @@
     def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
         """Takes in a heartbeat of another instance."""
         now_s = self._clock()
-        self._roster.hear(
-            crew_roster.PeerFact(
-                node=beat.node,
-                data_centre=beat.data_centre,
-                ip=beat.ip,
-                incarnation=beat.incarnation,
-                is_ready=beat.is_ready,
-                is_leaving=beat.is_leaving,
-                is_frequent=beat.is_frequent,
-                capacity=beat.capacity,
-            ),
-            now_s,
-        )
-        self._reader.on_heartbeat(beat)
-        self._trials.on_heartbeat(beat)
-        self._state.crashes.merge(beat.node, beat.crashes, now_s)
+        fact = beat.fact
+        self._roster.hear(fact, now_s)
+        self._reader.on_heartbeat(fact, beat)
+        self._trials.on_heartbeat(fact, beat)
+        self._state.crashes.merge(fact.node, beat.crashes, now_s)
 
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
         """A new configuration is in force."""
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -4,9 +4,14 @@
 
 import msgspec
 
+from magnoliacrank.policy import crew_roster
+
 FORMAT = 2
 """Version of the format; others are ignored."""
 
+SenderRow = tuple[str, str, str, int, bool, bool, bool, float]
+"""Fields of `PeerFact` in their order."""
+
 EvidenceRow = tuple[str, int, int, float, int, int, float]
 """Route, then answers, failures and seconds of the old and new version."""
 
@@ -39,29 +44,8 @@
     format: int
     """Version of the format."""
 
-    node: str
-    """Name of the sender."""
-
-    data_centre: str
-    """Its data centre."""
-
-    ip: str
-    """Its IP address."""
-
-    incarnation: int
-    """Unix millisecond of its start."""
-
-    is_ready: bool
-    """Whether it can serve."""
-
-    is_leaving: bool
-    """Whether it is shutting down."""
-
-    is_frequent: bool
-    """Whether it sends heartbeats at the crew's rate."""
-
-    capacity: float
-    """Cores' worth of requests that it can carry."""
+    sender: SenderRow
+    """Facts about the sender."""
 
     operators_mark: int
     """Offset after the newest change by operators that it knows."""
@@ -78,6 +62,11 @@
     crashes: dict[str, int]
     """Crashes by fingerprint of the request."""
 
+    @property
+    def fact(self) -> crew_roster.PeerFact:
+        """Facts about the sender."""
+        return crew_roster.PeerFact(*self.sender)
+
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Heartbeat)
--- a/packages/entry/src/magnoliacrank/entry/heartbeat_link.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat_link.py
@@ -105,7 +105,7 @@
             data = heartbeat.encode(beat)
             for ip in self._roster.recipients(number, self._clock()):
                 self._send(data, ip)
-            interval_s = OFTEN_S if beat.is_frequent else SELDOM_S
+            interval_s = OFTEN_S if beat.fact.is_frequent else SELDOM_S
             try:
                 async with asyncio.timeout(interval_s):
                     await self._wake.wait()
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -123,15 +123,17 @@
         """Stops reading."""
         await owned_task.stop(self._task, self._reading)
 
-    def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
+    def on_heartbeat(
+        self, sender: crew_roster.PeerFact, beat: heartbeat.Heartbeat
+    ) -> None:
         """Takes in how much another instance knows."""
         if beat.verified_age_ms < 0:
             return
         now_s = self._clock()
         verified_s = now_s - beat.verified_age_ms / 1000
-        self._marks[beat.node] = _PeerMarks(
-            beat.data_centre,
-            beat.ip,
+        self._marks[sender.node] = _PeerMarks(
+            sender.data_centre,
+            sender.ip,
             beat.operators_mark,
             beat.servers_mark,
             verified_s,
--- a/packages/entry/src/magnoliacrank/entry/trial_keeper.py
+++ b/packages/entry/src/magnoliacrank/entry/trial_keeper.py
@@ -163,9 +163,11 @@
             if now_s < kept.trial.deadline_s + _REPORT_S
         ]
 
-    def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
+    def on_heartbeat(
+        self, sender: crew_roster.PeerFact, beat: heartbeat.Heartbeat
+    ) -> None:
         """Takes in what another instance knows of roll-outs."""
-        source = f"{beat.node}/{beat.incarnation}"
+        source = f"{sender.node}/{sender.incarnation}"
         for report in beat.trials:
             kept = self._kept.get(report.service)
             if kept is None or kept.trial.order_offset != report.order_offset:
--- a/packages/gateway/src/magnoliacrank/gateway/exchange_failure.py
+++ b/packages/gateway/src/magnoliacrank/gateway/exchange_failure.py
@@ -69,6 +69,9 @@
     headers: CIMultiDictProxy[str] = _NO_HEADERS
     """Headers of a refusal, with the server's load report."""
 
+    detail: str = ""
+    """What the system said, for the log."""
+
     @property
     def verdict(self) -> verdicts.Verdict:
         """Whether the request may have run."""
--- a/packages/gateway/src/magnoliacrank/gateway/server_connection.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import time
 from typing import TYPE_CHECKING
@@ -14,10 +15,9 @@
 
 from magnoliacrank.gateway import answer_framing
 from magnoliacrank.gateway import exchange_failure
+from magnoliacrank.gateway import socket_options
 
 if TYPE_CHECKING:
-    import asyncio
-
     from aiohttp import streams
     from multidict import CIMultiDictProxy
 
@@ -400,3 +400,42 @@
             read_until_eof=self._allows_close,
             auto_decompress=False,
         )
+
+
+async def open_connection(
+    owner: ConnectionOwner,
+    host: str,
+    port: int,
+    timeout_s: float,
+    *,
+    allows_close: bool = False,
+) -> ServerConnection | exchange_failure.ExchangeFailure:
+    """Opens a connection that notices the loss of its peer.
+
+    Args:
+        owner: The pool.
+        host: IP address.
+        port: TCP port.
+        timeout_s: Longest time until it is open.
+        allows_close: Whether an orderly close may end an answer.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            transport, connection = await loop.create_connection(
+                lambda: ServerConnection(
+                    owner, loop, allows_close=allows_close
+                ),
+                host,
+                port,
+            )
+    except TimeoutError:
+        return exchange_failure.ExchangeFailure(
+            exchange_failure.FailureKind.CONNECT_TIMEOUT
+        )
+    except OSError as error:
+        return exchange_failure.ExchangeFailure(
+            exchange_failure.FailureKind.CONNECT_FAILED, detail=str(error)
+        )
+    socket_options.notice_lost_peer(transport)
+    return connection
--- a/packages/gateway/src/magnoliacrank/gateway/server_pool.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_pool.py
@@ -16,7 +16,6 @@
 from magnoliacrank.gateway import pool_events
 from magnoliacrank.gateway import server_connection
 from magnoliacrank.gateway import silence
-from magnoliacrank.gateway import socket_options
 from magnoliacrank.model import headers as header_names
 
 if TYPE_CHECKING:
@@ -290,28 +289,24 @@
     async def _open(
         self, timeout_s: float
     ) -> server_connection.ServerConnection | ExchangeFailure:
-        loop = asyncio.get_running_loop()
         limit_s = min(timeout_s, self._limits.connect_timeout_s)
         if limit_s <= 0:
             return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
         self._opening += 1
         try:
-            async with asyncio.timeout(limit_s):
-                transport, connection = await loop.create_connection(
-                    lambda: server_connection.ServerConnection(self, loop),
-                    self._host,
-                    self._port,
-                )
-        except TimeoutError:
-            return ExchangeFailure(FailureKind.CONNECT_TIMEOUT)
-        except OSError as error:
-            logging.warning(
-                "gateway: No connection to %s: %s.", self.authority, error
+            connection = await server_connection.open_connection(
+                self, self._host, self._port, limit_s
             )
-            return ExchangeFailure(FailureKind.CONNECT_FAILED)
         finally:
             self._opening -= 1
-        socket_options.notice_lost_peer(transport)
+        if isinstance(connection, ExchangeFailure):
+            if connection.kind is FailureKind.CONNECT_FAILED:
+                logging.warning(
+                    "gateway: No connection to %s: %s.",
+                    self.authority,
+                    connection.detail,
+                )
+            return connection
         if not self._is_open:
             connection.retire(FailureKind.CONNECTION_LOST)
             return ExchangeFailure(FailureKind.POOL_CLOSED)
