Start loops of an instance again when they fail; own tasks in one class

Cause: read while looking at duplicates. An exception in the reader, the heartbeats or the roll-out keeper was logged and ended that task for good: the instance would have served on with what it knew then.

Tests: a loop that fails goes on and is logged each time; a fault while reading doesn't freeze what an instance believes (fails without the change). 295 tests of state, peers and gateway pass.

--- a/packages/entry/src/magnoliacrank/entry/announcer.py
+++ b/packages/entry/src/magnoliacrank/entry/announcer.py
@@ -61,7 +61,7 @@
 
     async def start(self) -> None:
         """Begins to announce."""
-        self._task = owned_task.spawn(self._run(), "announcer", self._log)
+        self._task = owned_task.spawn_loop(self._run, "announcer", self._log)
 
     async def close(self) -> None:
         """Stops announcing."""
--- a/packages/entry/src/magnoliacrank/entry/heartbeat_link.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat_link.py
@@ -74,7 +74,7 @@
             lambda: self, local_addr=(self._ip, self._port)
         )
         self._transport = transport
-        self._task = owned_task.spawn(self._run(), "heartbeats", self._log)
+        self._task = owned_task.spawn_loop(self._run, "heartbeats", self._log)
 
     async def close(self) -> None:
         """Stops sending and closes the socket."""
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -117,7 +117,7 @@
 
     async def start(self) -> None:
         """Begins to read."""
-        self._task = owned_task.spawn(self._run(), "site reader", self._log)
+        self._task = owned_task.spawn_loop(self._run, "site reader", self._log)
 
     async def close(self) -> None:
         """Stops reading."""
--- a/packages/entry/src/magnoliacrank/entry/trial_keeper.py
+++ b/packages/entry/src/magnoliacrank/entry/trial_keeper.py
@@ -87,7 +87,7 @@
 
     async def start(self) -> None:
         """Begins to judge."""
-        self._task = owned_task.spawn(self._run(), "trials", self._log)
+        self._task = owned_task.spawn_loop(self._run, "trials", self._log)
 
     async def close(self) -> None:
         """Stops judging."""
--- /dev/null
+++ b/packages/entry/tests/test_owned_task.py
@@ -0,0 +1,75 @@
+"""Tests of tasks that outlive their faults."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from magnoliacrank.entry import owned_task
+from magnoliacrank.standins import virtual_time
+
+
+class Log:
+    """Keeps what was logged."""
+
+    def __init__(self):
+        self.failures = []
+
+    def warning(self, name, **fields):
+        assert name == "task failed"
+        self.failures.append((fields["task"], fields["error"]))
+
+
+async def _run_with_faults(faults):
+    log = Log()
+    runs = []
+
+    async def run():
+        runs.append(asyncio.get_running_loop().time())
+        if len(runs) <= faults:
+            raise ValueError(len(runs))
+        await asyncio.sleep(3600)
+
+    task = owned_task.spawn_loop(run, "reader", log)
+    await asyncio.sleep(60)
+    await owned_task.stop(task)
+    assert task.cancelled()
+    return runs, log.failures
+
+
+@pytest.mark.parametrize("faults", [0, 1, 3])
+def test_loop_that_fails_is_started_again_and_logged(faults):
+    runs, failures = virtual_time.run(_run_with_faults(faults))
+    assert len(runs) == faults + 1
+    assert [name for name, _ in failures] == ["reader"] * faults
+    assert all(later > first for first, later in itertools.pairwise(runs))
+
+
+async def test_loop_that_is_done_ends_without_a_line():
+    log = Log()
+
+    async def run():
+        return
+
+    task = owned_task.spawn_loop(run, "announcer", log)
+    await task
+    assert not log.failures
+
+
+async def test_reader_goes_on_after_a_fault_of_the_roster(site, monkeypatch):
+    """A fault while reading must not freeze what an instance believes."""
+    await site.add_backend("s1")
+    instance = await site.add_instance()
+    await site.ready()
+    is_due = instance._reader._is_due
+    faults = iter([RuntimeError("fault")])
+
+    def fail_once(now_s):
+        for fault in faults:
+            raise fault
+        return is_due(now_s)
+
+    monkeypatch.setattr(instance._reader, "_is_due", fail_once)
+    await site.add_backend("s2")
+    await site.until(lambda: instance._view.entry("s2"))
+    assert "task failed" in site.logs[0].names()
--- a/packages/gateway/src/magnoliacrank/gateway/periodic_task.py
+++ b/packages/gateway/src/magnoliacrank/gateway/periodic_task.py
@@ -7,6 +7,8 @@
 
 from absl import logging
 
+from magnoliacrank.state import owned_task
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -27,18 +29,15 @@
         self._name = name
         self._period_s = period_s
         self._call = call
-        self._task: asyncio.Task[None] | None = None
+        self._task = owned_task.OwnedTask(name, self._run)
 
     async def start(self) -> None:
         """Begins to call."""
-        self._task = asyncio.create_task(self._run(), name=self._name)
+        await self._task.start()
 
     async def close(self) -> None:
         """Stops; a call in progress is cancelled."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-            self._task = None
+        await self._task.close()
 
     async def _run(self) -> None:
         while True:
--- a/packages/peers/src/magnoliacrank/peers/record_relay.py
+++ b/packages/peers/src/magnoliacrank/peers/record_relay.py
@@ -10,6 +10,7 @@
 from magnoliacrank.model import ids
 from magnoliacrank.peers import errors
 from magnoliacrank.peers.wire import peer_pb2
+from magnoliacrank.state import owned_task
 
 if TYPE_CHECKING:
     from magnoliacrank.model import instance
@@ -57,7 +58,7 @@
         self._ahead: membership_task.PeerOffset | None = None
         self._is_behind = asyncio.Event()
         self._fetched_count = 0
-        self._task: asyncio.Task[None] | None = None
+        self._task = owned_task.OwnedTask("record-relay", self._run)
         membership.subscribe_offsets(self._on_offset)
 
     @property
@@ -67,15 +68,11 @@
 
     async def start(self) -> None:
         """Begins to fetch when a peer is ahead."""
-        self._task = asyncio.create_task(self._run(), name="record-relay")
+        await self._task.start()
 
     async def close(self) -> None:
         """Stops fetching."""
-        task = self._task
-        self._task = None
-        if task is not None:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await self._task.close()
 
     async def on_request(
         self, request: peer_pb2.RecordsRequest
--- a/packages/state/src/magnoliacrank/state/appender.py
+++ b/packages/state/src/magnoliacrank/state/appender.py
@@ -16,6 +16,7 @@
 from magnoliacrank.model import ids
 from magnoliacrank.platform import log_service
 from magnoliacrank.state import codec
+from magnoliacrank.state import owned_task
 from magnoliacrank.state import records
 
 if TYPE_CHECKING:
@@ -120,7 +121,7 @@
         self._queue: collections.deque[_Pending] = collections.deque()
         self._has_work = asyncio.Event()
         self._append_count = 0
-        self._task: asyncio.Task[None] | None = None
+        self._task = owned_task.OwnedTask("appender", self._run)
 
     @property
     def append_count(self) -> int:
@@ -129,15 +130,11 @@
 
     async def start(self) -> None:
         """Begins to append."""
-        self._task = asyncio.create_task(self._run(), name="appender")
+        await self._task.start()
 
     async def close(self) -> None:
         """Stops appending; records that wait are given up."""
-        task = self._task
-        self._task = None
-        if task is not None:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await self._task.close()
 
     async def append(
         self,
--- a/packages/state/src/magnoliacrank/state/log_follower.py
+++ b/packages/state/src/magnoliacrank/state/log_follower.py
@@ -14,6 +14,7 @@
 from magnoliacrank.state import fold as fold_lib
 from magnoliacrank.state import log_state
 from magnoliacrank.state import messages
+from magnoliacrank.state import owned_task
 from magnoliacrank.state import readiness as readiness_lib
 from magnoliacrank.state import record_tail
 from magnoliacrank.state import records
@@ -60,7 +61,7 @@
         self._log_heard_s: float | None = None
         self._log_current_s: float | None = None
         self._claims_from: ids.LogOffset | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._task = owned_task.OwnedTask("log-follower", self._run)
 
     @property
     def state(self) -> log_state.LogState:
@@ -94,15 +95,11 @@
 
     async def start(self) -> None:
         """Begins to read the log."""
-        self._task = asyncio.create_task(self._run(), name="log-follower")
+        await self._task.start()
 
     async def close(self) -> None:
         """Stops reading; the fold stays as it is."""
-        task = self._task
-        self._task = None
-        if task is not None:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await self._task.close()
 
     def subscribe(
         self, handler: Callable[[messages.StateMessage], None]
--- a/packages/state/src/magnoliacrank/state/snapshot_writer.py
+++ b/packages/state/src/magnoliacrank/state/snapshot_writer.py
@@ -11,6 +11,7 @@
 
 from magnoliacrank.state import appender as appender_lib
 from magnoliacrank.state import messages
+from magnoliacrank.state import owned_task
 from magnoliacrank.state import records
 
 if TYPE_CHECKING:
@@ -64,7 +65,7 @@
         self._seen_s = clock()
         self._jitter = self._rng.random()
         self._snapshot_count = 0
-        self._task: asyncio.Task[None] | None = None
+        self._task = owned_task.OwnedTask("snapshot-writer", self._run)
         follower.subscribe(self._on_message)
 
     @property
@@ -74,15 +75,11 @@
 
     async def start(self) -> None:
         """Begins to watch the age of the newest snapshot."""
-        self._task = asyncio.create_task(self._run(), name="snapshot-writer")
+        await self._task.start()
 
     async def close(self) -> None:
         """Stops."""
-        task = self._task
-        self._task = None
-        if task is not None:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await self._task.close()
 
     def _on_message(self, message: messages.StateMessage) -> None:
         if isinstance(message, messages.SnapshotRecorded):
--- a/packages/state/src/magnoliacrank/state/term_keeper.py
+++ b/packages/state/src/magnoliacrank/state/term_keeper.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from magnoliacrank.state import appender as appender_lib
+from magnoliacrank.state import owned_task
 from magnoliacrank.state import records
 
 if TYPE_CHECKING:
@@ -62,19 +63,15 @@
         self._seen_s = clock()
         self._patience_s = self._draw_patience()
         self._held_from_s: float | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._task = owned_task.OwnedTask(f"term-{job}", self._run)
 
     async def start(self) -> None:
         """Begins to watch the term."""
-        self._task = asyncio.create_task(self._run(), name=f"term-{self._job}")
+        await self._task.start()
 
     async def close(self) -> None:
         """Stops; a held term lapses."""
-        task = self._task
-        self._task = None
-        if task is not None:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await self._task.close()
 
     def fence(self) -> records.Fence | None:
         """Returns the fence of the held term, or None when it isn't held."""
