Bound the memory of bodies by the machine's, not by a constant

Cause: 96 MB of bodies were allowed on every machine. A body is held up to three times (as read, as encoded for a server, in the socket's buffer), so the bound allowed more than the 300 MB of today's machines and far more than the 200 MB of the small ones on the grown sites.

Change: a fifth of `memory-mb` of the settings.

Tests: the refusal now follows from the machine's memory; limits are read.

--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -27,9 +27,6 @@
 
 Verdict = dispatches.Verdict
 
-_BODY_MEMORY_BYTES = 96 << 20
-"""Bytes of bodies that are held at once; a third of an instance's memory."""
-
 _NO_PLAN_RETRY_S = 0.5
 """What callers are told while no configuration is known."""
 
@@ -62,6 +59,7 @@
         state: Parts that requests share.
         view: Configuration and servers.
         reader: Keeps the view up to date.
+        body_memory_bytes: Bytes of bodies that may be held at once.
     """
 
     def __init__(
@@ -69,10 +67,12 @@
         state: entry_state.EntryState,
         view: site_view.SiteView,
         reader: site_reader.SiteReader,
+        body_memory_bytes: int,
     ) -> None:
         self._state = state
         self._view = view
         self._reader = reader
+        self._body_memory_bytes = body_memory_bytes
         self._held_bytes = 0
 
     async def on_request(
@@ -87,7 +87,7 @@
             await self._refuse(exchange, rule, None, trace)
             return
         size = exchange.body_length or 0
-        if self._held_bytes + size > _BODY_MEMORY_BYTES:
+        if self._held_bytes + size > self._body_memory_bytes:
             refusal = _Refusal(503, "body-memory", _NO_PLAN_RETRY_S)
             await self._refuse(exchange, refusal, rule, trace)
             return
@@ -125,7 +125,7 @@
     ) -> None:
         plan = self._view.plan
         assert plan is not None, "a route was found"
-        room = _BODY_MEMORY_BYTES - self._held_bytes + stated_bytes
+        room = self._body_memory_bytes - self._held_bytes + stated_bytes
         limit = min(plan.limits.max_body_bytes, room)
         reading = trace.begin(request_trace.Hop.READ)
         body = await exchange.read_body(limit)
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -44,6 +44,10 @@
 _EXIT_MARGIN_S = 0.6
 """Time kept between the end of serving and the kill."""
 
+_BODY_MEMORY_SHARE = 0.2
+"""Part of the memory that bodies may take; each is held up to three times, as
+read, as encoded for a server and in the socket's buffer."""
+
 _PROBE_SHARE = 0.8
 """Part of the operators' bound on health requests that is used."""
 
@@ -112,7 +116,12 @@
         )
         limits = front_limits.FrontLimits()
         self._front = front_server.FrontServer(
-            entry_handler.EntryHandler(self._state, self._view, self._reader),
+            entry_handler.EntryHandler(
+                self._state,
+                self._view,
+                self._reader,
+                int(settings.memory_mb * 1e6 * _BODY_MEMORY_SHARE),
+            ),
             limits,
         )
         self._servers = self._side_servers(limits)
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -156,7 +156,7 @@
     def register(self, backend):
         self.store.put("keyed.servers", backend.server_id, backend.entry())
 
-    async def add_instance(self, number=1, data_centre="a"):
+    async def add_instance(self, number=1, data_centre="a", **fields):
         front, ready, directory, peers = self._ports
         ip = f"127.0.0.{number}"
         settings = settings_file.InstanceSettings(
@@ -170,6 +170,7 @@
             store=self.store.address,
             heartbeat_s=1.5,
             bounds=settings_file.SafetyBounds(grace_s=3.2),
+            **fields,
         )
         log = RecordingLog()
         instance = entry_instance.EntryInstance(settings, log)
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from magnoliacrank.entry import entry_handler
 from magnoliacrank.entry import job as jobs
 from magnoliacrank.entry import request_carrier
 from magnoliacrank.entry import request_trace
@@ -493,10 +492,10 @@
     assert found == status
 
 
-async def test_bodies_beyond_the_memory_are_refused_at_once(site, monkeypatch):
-    monkeypatch.setattr(entry_handler, "_BODY_MEMORY_BYTES", 150_000)
+async def test_bodies_beyond_the_memory_are_refused_at_once(site):
+    """A fifth of the machine's memory: 150 KB of 0.75 MB."""
     await site.add_backend("s1")
-    await site.add_instance()
+    await site.add_instance(memory_mb=0.75)
     await site.ready()
 
     async def chunks():
--- a/packages/platform/src/magnoliacrank/platform/settings_file.py
+++ b/packages/platform/src/magnoliacrank/platform/settings_file.py
@@ -98,6 +98,9 @@
     link_mbps: float = 1000.0
     """Bandwidth of the instance's link, in Mbit/s."""
 
+    memory_mb: float = 300.0
+    """Memory beyond which the process is killed, in MB."""
+
     @property
     def store_url(self) -> str:
         """Base URL of the platform's store."""
@@ -211,6 +214,10 @@
     return SafetyBounds(**values)
 
 
+_MACHINE_LIMITS = {"link_mbps": "link-mbps", "memory_mb": "memory-mb"}
+"""Wire name of each limit that is a plain number."""
+
+
 def _read_limits(fields: Any, errors: list[str]) -> dict[str, float]:
     """Reads what the machine gives to the process; absent limits have none."""
     if not isinstance(fields, dict):
@@ -222,8 +229,9 @@
             values["cores"] = wire_values.read_number(fields, "cpu-share")
             if "cores" in fields:
                 values["cores"] *= wire_values.read_number(fields, "cores")
-        if "link-mbps" in fields:
-            values["link_mbps"] = wire_values.read_number(fields, "link-mbps")
+        for name, wire_name in _MACHINE_LIMITS.items():
+            if wire_name in fields:
+                values[name] = wire_values.read_number(fields, wire_name)
     except wire_values.WireValueError as error:
         errors.append(f"limits {error}")
     return values
--- a/packages/platform/tests/test_settings_file.py
+++ b/packages/platform/tests/test_settings_file.py
@@ -67,18 +67,20 @@
 
 
 @pytest.mark.parametrize(
-    ("limits", "cores", "link_mbps"),
+    ("limits", "cores", "link_mbps", "memory_mb"),
     [
-        (None, 1.0, 1000.0),
-        ({}, 1.0, 1000.0),
-        ({"cpu-share": 0.5}, 0.5, 1000.0),
-        ({"cpu-share": 0.5, "cores": 3, "link-mbps": 10}, 1.5, 10.0),
+        (None, 1.0, 1000.0, 300.0),
+        ({}, 1.0, 1000.0, 300.0),
+        ({"cpu-share": 0.5, "memory-mb": 200}, 0.5, 1000.0, 200.0),
+        ({"cpu-share": 0.5, "cores": 3, "link-mbps": 10}, 1.5, 10.0, 300.0),
     ],
 )
-def test_limits_of_the_machine_are_read(limits, cores, link_mbps):
+def test_limits_of_the_machine_are_read(limits, cores, link_mbps, memory_mb):
     document = {**DOCUMENT, "limits": limits}
     settings = settings_file.decode(document, "f")
-    assert (settings.cores, settings.link_mbps) == (cores, link_mbps)
+    assert settings.cores == cores
+    assert settings.link_mbps == link_mbps
+    assert settings.memory_mb == memory_mb
 
 
 def test_all_errors_are_named_at_once():
