--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,10 @@
 bench-hop: $(STAMP)
 	$(BIN)/python -m bench.hop
 
+.PHONY: bench-logs
+bench-logs: $(STAMP)
+	$(BIN)/python -m bench.logs
+
 .PHONY: bench-moves
 bench-moves: $(STAMP)
 	$(BIN)/python -m bench.moves
