--- a/packages/cli/tests/test_instance_process.py
+++ b/packages/cli/tests/test_instance_process.py
@@ -13,6 +13,7 @@
 import pytest
 import yaml
 
+from magnoliacrank.standins import free_ports
 from magnoliacrank.standins import platform_backend
 from magnoliacrank.standins import platform_store
 
@@ -57,16 +58,6 @@
 }
 
 
-def _free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 def _settings(ports, store):
     front, ready, directory, peers = ports
     return {
@@ -122,7 +113,7 @@
 
 
 async def test_port_in_use_ends_with_exit_code_1(tmp_path):
-    ports = _free_ports(4)
+    ports = free_ports.find(4)
     path = tmp_path / "node.yaml"
     path.write_text(yaml.safe_dump(_settings(ports, ("127.0.0.1", 9))))
     with socket.socket() as taken:
@@ -142,7 +133,7 @@
     await backend.start()
     store.put("keyed.op", "config", json.dumps(CONFIG).encode())
     store.put("keyed.servers", "s1", backend.entry())
-    ports = _free_ports(4)
+    ports = free_ports.find(4)
     path = tmp_path / "node.yaml"
     path.write_text(yaml.safe_dump(_settings(ports, store.address)))
     process = await _start(path)
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -5,7 +5,6 @@
 import asyncio
 import inspect
 import json
-import socket
 
 import aiohttp
 import pytest
@@ -13,6 +12,7 @@
 from magnoliacrank.entry import entry_instance
 from magnoliacrank.entry import event_log
 from magnoliacrank.platform import settings_file
+from magnoliacrank.standins import free_ports
 from magnoliacrank.standins import platform_backend
 from magnoliacrank.standins import platform_store
 
@@ -104,16 +104,6 @@
             await asyncio.sleep(0.01)
 
 
-def _free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 class Site:
     """Store, backend servers and instances, on loopback addresses."""
 
@@ -126,7 +116,7 @@
         self.instances = []
         self.logs = []
         self._session = None
-        self._ports = _free_ports(4)
+        self._ports = free_ports.find(4)
 
     async def start(self):
         await self.store.start()
--- /dev/null
+++ b/packages/entry/tests/test_rollouts.py
@@ -0,0 +1,118 @@
+"""Tests of roll-outs on a whole instance."""
+
+import asyncio
+import json
+
+from magnoliacrank.platform import store_client
+from magnoliacrank.standins import platform_backend
+
+Fault = platform_backend.BackendFault
+
+
+async def test_bad_version_is_taken_back_and_recorded(site):
+    await site.add_backend("old1")
+    await site.add_backend("old2")
+    instance = await site.add_instance()
+    await site.ready()
+    new = await site.add_backend("new1", version="v2")
+    new.fault = Fault.FAIL
+    order = {"service": "svc", "target-version": "v2", "duration": "12s"}
+    site.store.put("keyed.op", "rollout/svc", json.dumps(order).encode())
+    await site.until(lambda: instance._trials.trial("svc") is not None)
+
+    def is_rolled_back():
+        value = site.store.newest("keyed.status").get("rollout/svc")
+        return value and json.loads(value)["state"] == "rolled_back"
+
+    async with asyncio.timeout(15):
+        number = 0
+        while not is_rolled_back():
+            number += 1
+            await site.request(request_id=f"r{number}")
+            await asyncio.sleep(0.01)
+    assert len(new.runs) < 0.1 * number + 50
+    before = len(new.runs)
+    for extra in range(10):
+        await site.request(request_id=f"x{extra}")
+    assert len(new.runs) == before
+
+
+async def test_good_version_takes_over_before_the_deadline(site):
+    await site.add_backend("old1")
+    instance = await site.add_instance()
+    await site.ready()
+    new = await site.add_backend("new1", version="v2")
+    order = {"service": "svc", "target-version": "v2", "duration": "4s"}
+    site.store.put("keyed.op", "rollout/svc", json.dumps(order).encode())
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + 4.0
+    await site.until(lambda: instance._trials.trial("svc") is not None)
+
+    def state():
+        value = site.store.newest("keyed.status").get("rollout/svc")
+        return value and json.loads(value)["state"]
+
+    number = 0
+    while state() != "completed" and loop.time() < end_s:
+        number += 1
+        await site.request(request_id=f"r{number}")
+        await asyncio.sleep(0.005)
+    assert state() == "completed"
+    before = len(new.runs)
+    for extra in range(10):
+        await site.request(request_id=f"x{extra}")
+    assert len(new.runs) == before + 10
+
+
+ORDER = {"service": "svc", "target-version": "v2", "duration": "12s"}
+
+
+def _states(site):
+    return [
+        json.loads(value)["state"]
+        for key, value in site.store.history("keyed.status")
+        if key == "rollout/svc"
+    ]
+
+
+async def test_restarted_instance_does_not_reopen_a_completed_rollout(
+    site, monkeypatch
+):
+    """Found by a hunt (hunt-b24e-3 on cirelis-routes): an instance that could
+    not read the recorded states at its start wrote `running` over
+    `completed`; after the next restart, all requests were refused.
+    """
+    await site.add_backend("new1", version="v2")
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    done = {"service": "svc", "target-version": "v2", "state": "completed"}
+    site.store.put("keyed.status", "rollout/svc", json.dumps(done).encode())
+    original = store_client.StoreClient.newest
+    failures = iter([True])
+
+    async def newest(self, topic, timeout_s):
+        if topic == store_client.STATUS_TOPIC and next(failures, False):
+            return store_client.StoreFailure(
+                store_client.StoreFailureKind.REFUSED, "away"
+            )
+        return await original(self, topic, timeout_s)
+
+    monkeypatch.setattr(store_client.StoreClient, "newest", newest)
+    instance = await site.add_instance()
+    await site.ready()
+    await site.until(lambda: instance._view.target_version("svc") is None)
+    await asyncio.sleep(0.5)
+    assert _states(site) == ["completed"]
+    status, _, _ = await site.request()
+    assert status == 200
+
+
+async def test_only_version_that_is_left_serves(site):
+    await site.add_backend("new1", version="v2")
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    running = {"service": "svc", "target-version": "v2", "state": "running"}
+    site.store.put("keyed.status", "rollout/svc", json.dumps(running).encode())
+    await site.add_instance()
+    await site.ready()
+    for number in range(10):
+        status, _, _ = await site.request(request_id=f"r{number}")
+        assert status == 200
