Follow the instance list instead of reading it whole each time

Change: `StoreInstanceList` reads on from where it was and decodes what has changed; where that history has expired it starts over.

Tests: a fetch after a change makes no whole read (fails before), expired history, an outage in between.

--- a/packages/platform/src/magnoliacrank/platform/store_instance_list.py
+++ b/packages/platform/src/magnoliacrank/platform/store_instance_list.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
 
 from absl import logging
 import msgspec
@@ -17,8 +19,12 @@
 from magnoliacrank.platform import wire_values
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliacrank.platform import store_records
 
+_Entry = TypeVar("_Entry")
+
 _TIMEOUT_S = 2.0
 """Longest time for an answer of the store."""
 
@@ -47,17 +53,19 @@
     ) -> None:
         self._store = store
         self._timeout_s = timeout_s
+        self._instances = _FollowedTopic(
+            store, store_client.INSTANCES_TOPIC, timeout_s, _decode_instance
+        )
+        self._servers = _FollowedTopic(
+            store, store_client.SERVERS_TOPIC, timeout_s, _decode_server
+        )
 
     async def fetch(self) -> instance.Announcements:
         """See `InstanceList.fetch`."""
         instances, servers = await asyncio.gather(
-            self._newest(store_client.INSTANCES_TOPIC),
-            self._newest(store_client.SERVERS_TOPIC),
-        )
-        return instance.Announcements(
-            instances=tuple(filter(None, map(_decode_instance, instances))),
-            servers=tuple(filter(None, map(_decode_server, servers))),
+            self._instances.fetch(), self._servers.fetch()
         )
+        return instance.Announcements(instances, servers)
 
     async def announce(self, entry: instance.EntryInstance) -> None:
         """See `InstanceList.announce`."""
@@ -67,14 +75,6 @@
         """See `InstanceList.withdraw`."""
         await self._write(instance_id, b"")
 
-    async def _newest(
-        self, topic: str
-    ) -> tuple[store_records.KeyedRecord, ...]:
-        newest = await self._store.newest(topic, self._timeout_s)
-        if isinstance(newest, store_client.StoreFailure):
-            raise instance_list.InstanceListUnavailableError(newest.detail)
-        return newest.records
-
     async def _write(self, instance_id: ids.InstanceId, value: bytes) -> None:
         result = await self._store.append(
             store_client.INSTANCES_TOPIC, instance_id, value, self._timeout_s
@@ -83,6 +83,71 @@
             raise instance_list.InstanceListUnavailableError(result.detail)
 
 
+class _FollowedTopic(Generic[_Entry]):
+    """Newest entry of each key; only what has changed is read and decoded.
+
+    Args:
+        store: Client of the store.
+        topic: Name of the topic.
+        timeout_s: Longest time for an answer, in seconds.
+        decode: Returns the entry of a record; None where there is none.
+    """
+
+    def __init__(
+        self,
+        store: store_client.StoreClient,
+        topic: str,
+        timeout_s: float,
+        decode: Callable[[store_records.KeyedRecord], _Entry | None],
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._timeout_s = timeout_s
+        self._decode = decode
+        self._entries: dict[str, _Entry] = {}
+        self._next_offset: int | None = None
+
+    async def fetch(self) -> tuple[_Entry, ...]:
+        """Brings the entries up to date and returns them by key.
+
+        Raises:
+            InstanceListUnavailableError: There was no usable answer.
+        """
+        if self._next_offset is None or not await self._follow(
+            self._next_offset
+        ):
+            await self._start_over()
+        return tuple(self._entries[key] for key in sorted(self._entries))
+
+    async def _follow(self, offset: int) -> bool:
+        """Reads on from an offset; False if its records have expired."""
+        page = await self._store.read(self._topic, offset, 0.0, self._timeout_s)
+        if isinstance(page, store_client.StoreFailure):
+            if page.kind is store_client.StoreFailureKind.EXPIRED:
+                return False
+            raise instance_list.InstanceListUnavailableError(page.detail)
+        for record in page.records:
+            self._apply(record)
+        self._next_offset = page.next_offset
+        return True
+
+    async def _start_over(self) -> None:
+        newest = await self._store.newest(self._topic, self._timeout_s)
+        if isinstance(newest, store_client.StoreFailure):
+            raise instance_list.InstanceListUnavailableError(newest.detail)
+        self._entries.clear()
+        for record in newest.records:
+            self._apply(record)
+        self._next_offset = newest.end
+
+    def _apply(self, record: store_records.KeyedRecord) -> None:
+        entry = self._decode(record)
+        if entry is None:
+            self._entries.pop(record.key, None)
+        else:
+            self._entries[record.key] = entry
+
+
 def _decode_instance(
     record: store_records.KeyedRecord,
 ) -> instance.Announcement | None:
--- a/packages/platform/tests/test_store_log.py
+++ b/packages/platform/tests/test_store_log.py
@@ -162,3 +162,42 @@
             await listed.fetch()
         with pytest.raises(instance_list.InstanceListUnavailableError):
             await listed.announce(entry())
+
+
+async def test_list_reads_only_what_has_changed(store):
+    async with connected(store) as client:
+        listed = store_instance_list.StoreInstanceList(client)
+        await listed.announce(entry("e1"))
+        await listed.fetch()
+        whole_reads = store.calls["newest"]
+        await listed.announce(entry("e2"))
+        await listed.withdraw(ids.InstanceId("e1"))
+        found = await listed.fetch()
+        assert store.calls["newest"] == whole_reads
+    assert [one.entry.instance_id for one in found.instances] == ["e2"]
+
+
+async def test_list_starts_over_when_history_has_expired(store):
+    async with connected(store) as client:
+        listed = store_instance_list.StoreInstanceList(client)
+        await listed.announce(entry("e1"))
+        await listed.announce(entry("e2"))
+        await listed.fetch()
+        store.drop("keyed.entry-instances", "e1")
+        await listed.announce(entry("e3"))
+        store.compact("keyed.entry-instances")
+        found = await listed.fetch()
+    names = [one.entry.instance_id for one in found.instances]
+    assert names == ["e2", "e3"]
+
+
+async def test_list_keeps_what_it_knows_over_an_outage(store):
+    async with connected(store) as client:
+        listed = store_instance_list.StoreInstanceList(client)
+        await listed.announce(entry("e1"))
+        before = await listed.fetch()
+        store.fault = Fault.BUSY
+        with pytest.raises(instance_list.InstanceListUnavailableError):
+            await listed.fetch()
+        store.fault = Fault.NONE
+        assert await listed.fetch() == before
