--- a/packages/entry/src/magnoliacrank/entry/announcer.py
+++ b/packages/entry/src/magnoliacrank/entry/announcer.py
@@ -9,6 +9,7 @@
 
 from magnoliacrank.entry import owned_task
 from magnoliacrank.platform import store_client
+from magnoliacrank.policy import announce_schedule
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -20,8 +21,7 @@
 
 _PREFIX = "instance/"
 _CALL_TIMEOUT_S = 1.0
-_FIRST_PAUSE_S = 0.4
-_MAX_PAUSE_S = 3.0
+_TICK_S = 0.2
 
 
 class _Announcement(msgspec.Struct):
@@ -32,12 +32,10 @@
 
 
 class Announcer:
-    """Writes this instance to the store once, and reads who else is there.
-
-    Heartbeats do the rest: whoever is sent one knows its sender.
+    """Keeps a few addresses in the store, and learns of others from there.
 
     Args:
-        settings: Name and address of this instance.
+        settings: Name, address and seeds of this instance.
         store: Where instances are announced.
         roster: Who is sent heartbeats.
         log: Where failures are logged.
@@ -57,6 +55,15 @@
         self._roster = roster
         self._log = log
         self._clock = clock
+        self._schedule = announce_schedule.AnnounceSchedule(
+            clock(), has_seeds=bool(settings.seeds)
+        )
+        self._steps: dict[
+            announce_schedule.Step, Callable[[], Awaitable[bool]]
+        ] = {
+            announce_schedule.Step.ANNOUNCE: self._announce,
+            announce_schedule.Step.READ: self._read,
+        }
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -68,19 +75,17 @@
         await owned_task.stop(self._task)
 
     async def _run(self) -> None:
-        # Announcing comes before reading: of two instances that start
-        # together, at least one sees the other.
-        await self._until_done(self._announce)
-        await self._until_done(self._read)
-
-    async def _until_done(
-        self,
-        step: Callable[[], Awaitable[bool]],
-    ) -> None:
-        pause_s = _FIRST_PAUSE_S
-        while not await step():
-            await asyncio.sleep(pause_s)
-            pause_s = min(pause_s * 2, _MAX_PAUSE_S)
+        while True:
+            now_s = self._clock()
+            step = self._schedule.next_step(
+                now_s,
+                is_alone=self._roster.is_alone(now_s),
+                duty_order=self._roster.duty_order(now_s),
+            )
+            if step is announce_schedule.Step.NONE:
+                await asyncio.sleep(_TICK_S)
+            elif not await self._steps[step]():
+                self._schedule.on_failed(self._clock())
 
     async def _announce(self) -> bool:
         value = msgspec.json.encode(_Announcement(self._settings.ip))
@@ -90,7 +95,10 @@
             value,
             _CALL_TIMEOUT_S,
         )
-        return self._succeeded("announcement failed", result)
+        if not self._succeeded("announcement failed", result):
+            return False
+        self._schedule.on_announced()
+        return True
 
     async def _read(self) -> bool:
         newest = await self._store.newest(
@@ -112,6 +120,7 @@
                 )
                 continue
             self._roster.introduce(known.ip, now_s)
+        self._schedule.on_read(now_s)
         return True
 
     def _succeeded(self, event: str, result: object) -> bool:
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -28,6 +28,10 @@
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
 from magnoliacrank.policy import crew_roster
+from magnoliacrank.policy import mesh_protocol
+from magnoliacrank.policy import peer_fact
+from magnoliacrank.policy import record_sources
+from magnoliacrank.policy import site_mesh
 
 if TYPE_CHECKING:
     from magnoliacrank.model import orders
@@ -76,16 +80,34 @@
             settings.node, settings.data_centre, clock
         )
         self._metrics = entry_metrics.EntryMetrics()
-        self._roster = crew_roster.CrewRoster(self._own_fact(is_ready=False))
+        self._roster = crew_roster.CrewRoster(
+            self._own_fact(is_ready=False, is_frequent=True)
+        )
+        self._protocol = mesh_protocol.MeshProtocol(
+            self._roster, settings.seeds, clock()
+        )
+        self._sources = record_sources.RecordSources(
+            clock(),
+            is_first=not settings.seeds or settings.ip in settings.seeds,
+            capacity=self._roster.own.capacity,
+            spread=spread,
+        )
         self._store = store_client.StoreClient(settings.store_url)
         self._view = site_view.SiteView(self.log, clock)
         self._peers = peer_fetcher.PeerFetcher(settings.peer_port, self.log)
-        self._reader = site_reader.SiteReader(
-            self._view, self._store, self._peers, self._roster, self.log, clock
-        )
         self._trials = trial_keeper.TrialKeeper(
             self._view, self._store, self._roster, bounds, self.log, clock
         )
+        self._reader = site_reader.SiteReader(
+            self._view,
+            self._store,
+            self._peers,
+            self._roster,
+            self._sources,
+            self._trials,
+            self.log,
+            clock,
+        )
         self._table = backend_table.BackendTable(
             self.log, clock, self._probe_rate_per_s
         )
@@ -109,7 +131,13 @@
             spread,
         )
         self._link = heartbeat_link.HeartbeatLink(
-            settings.ip, settings.peer_port, self._roster, self, self.log, clock
+            settings.ip,
+            settings.peer_port,
+            self._roster,
+            self._protocol,
+            self,
+            self.log,
+            clock,
         )
         self._announcer = announcer.Announcer(
             settings, self._store, self._roster, self.log, clock
@@ -127,6 +155,7 @@
         self._servers = self._side_servers(limits)
         self._view.add_listener(self)
         self._reader.set_news_handler(self._link.send_now)
+        self._reader.set_store_read_handler(self._on_store_read)
         self._trials.set_urgent_handler(self._link.send_now)
         self._watch_figures()
 
@@ -155,7 +184,6 @@
             "instance started",
             address=":".join(map(str, self._settings.front)),
         )
-        await self._trials.load_states()
         await self._reader.start()
         await self._announcer.start()
         await self._trials.start()
@@ -163,7 +191,7 @@
     async def leave(self) -> None:
         """Leaves the directory and goes on serving until callers know."""
         self._is_leaving = True
-        self._roster.set_own(self._own_fact(is_ready=False))
+        self._roster.set_own(self._own_fact(is_ready=False, is_frequent=False))
         self._link.send_now()
         self._front.start_draining()
         self.log.event("instance leaving")
@@ -188,12 +216,17 @@
     def next_heartbeat(self) -> heartbeat.Heartbeat:
         """Returns the heartbeat to send now."""
         now_s = self._clock()
-        fact = self._own_fact(is_ready=self.is_ready)
+        fact = self._own_fact(
+            is_ready=self.is_ready,
+            is_frequent=self._protocol.is_member(now_s),
+        )
         self._roster.set_own(fact)
         view = self._view
         return heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=attrs.astuple(fact),
+            mesh_mark=self._protocol.mark(now_s),
+            lost=self._roster.lost(now_s),
             operators_mark=view.operators.mark,
             servers_mark=view.servers.mark,
             verified_age_ms=service_handlers.verified_age_ms(
@@ -201,16 +234,21 @@
             ),
             trials=self._trials.reports(),
             crashes=self._state.crashes.recent(now_s),
+            blocked=self._state.crashes.blocked(now_s),
         )
 
     def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
         """Takes in a heartbeat of another instance."""
         now_s = self._clock()
         fact = beat.fact
-        self._roster.hear(fact, now_s)
         self._reader.on_heartbeat(fact, beat)
         self._trials.on_heartbeat(fact, beat)
         self._state.crashes.merge(fact.node, beat.crashes, now_s)
+        if self._roster.is_follower(now_s):
+            self._state.crashes.block(beat.blocked, now_s)
+
+    def _on_store_read(self) -> None:
+        self._protocol.on_store_read(self._clock())
 
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
         """A new configuration is in force."""
@@ -248,18 +286,13 @@
         """Health requests a second that this instance may send to a server."""
         crew = len(self._roster.whole_crew(self._clock()))
         bound = self._settings.bounds.probes_per_s
-        return bound * _PROBE_SHARE / max(crew, crew_roster.MIN_CREW_SIZE)
+        return bound * _PROBE_SHARE / max(crew, site_mesh.MIN_CREW_SIZE)
 
-    def _own_fact(self, *, is_ready: bool) -> crew_roster.PeerFact:
+    def _own_fact(
+        self, *, is_ready: bool, is_frequent: bool
+    ) -> peer_fact.PeerFact:
         settings = self._settings
-        is_frequent = False
-        if is_ready:
-            now_s = self._clock()
-            is_frequent = (
-                self._roster.is_crew(now_s)
-                or self._roster.duty_order(now_s) == 0
-            )
-        return crew_roster.PeerFact(
+        return peer_fact.PeerFact(
             node=settings.node,
             data_centre=settings.data_centre,
             ip=settings.ip,
@@ -267,7 +300,7 @@
             is_ready=is_ready,
             is_leaving=self._is_leaving,
             is_frequent=is_frequent,
-            capacity=crew_roster.capacity(settings.cores, settings.link_mbps),
+            capacity=peer_fact.capacity(settings.cores, settings.link_mbps),
         )
 
     def _side_servers(
@@ -276,7 +309,11 @@
         settings = self._settings
         ready = service_handlers.ReadyHandler(lambda: self.is_ready)
         peers = service_handlers.PeerHandler(
-            self._view, self._reader, self._metrics, self._clock
+            self._view,
+            self._reader,
+            self._trials,
+            self._metrics,
+            self._clock,
         )
         servers = [
             (front_server.FrontServer(ready, limits), settings.ready),
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -1,12 +1,12 @@
-"""Heartbeat: the heartbeat between instances, and its codec."""
+"""Heartbeat and InstanceList: datagrams between instances, and their codec."""
 
 from __future__ import annotations
 
 import msgspec
 
-from magnoliacrank.policy import crew_roster
+from magnoliacrank.policy import peer_fact
 
-FORMAT = 2
+FORMAT = 3
 """Version of the format; others are ignored."""
 
 SenderRow = tuple[str, str, str, int, bool, bool, bool, float]
@@ -38,7 +38,7 @@
     """Evidence of the sender by route."""
 
 
-class Heartbeat(msgspec.Struct, array_like=True):
+class Heartbeat(msgspec.Struct, array_like=True, tag="beat"):
     """One heartbeat."""
 
     format: int
@@ -47,6 +47,12 @@
     sender: SenderRow
     """Facts about the sender."""
 
+    mesh_mark: int
+    """Digest of the mesh that it sees; 0 to ask for a list."""
+
+    lost: list[str]
+    """Neighbours of the sender that fell silent."""
+
     operators_mark: int
     """Offset after the newest change by operators that it knows."""
 
@@ -62,25 +68,49 @@
     crashes: dict[str, int]
     """Crashes by fingerprint of the request."""
 
+    blocked: list[str]
+    """Fingerprints of requests that the mesh refuses, for followers."""
+
     @property
-    def fact(self) -> crew_roster.PeerFact:
+    def fact(self) -> peer_fact.PeerFact:
         """Facts about the sender."""
-        return crew_roster.PeerFact(*self.sender)
+        return peer_fact.PeerFact(*self.sender)
+
+
+class InstanceList(msgspec.Struct, array_like=True, tag="list"):
+    """Neighbours of the sender, and members of the mesh that it sees."""
+
+    format: int
+    """Version of the format."""
+
+    data_centre: str
+    """Data centre of the sender."""
+
+    rows: list[SenderRow]
+    """Facts about the instances."""
+
+    @property
+    def facts(self) -> list[peer_fact.PeerFact]:
+        """Facts about the instances."""
+        return [peer_fact.PeerFact(*row) for row in self.rows]
+
 
+Message = Heartbeat | InstanceList
+"""What a datagram between instances may be."""
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Heartbeat)
+_DECODER = msgspec.msgpack.Decoder(Message)
 
 
-def encode(beat: Heartbeat) -> bytes:
-    """Returns the bytes of a heartbeat."""
-    return _ENCODER.encode(beat)
+def encode(message: Message) -> bytes:
+    """Returns the bytes of a message."""
+    return _ENCODER.encode(message)
 
 
-def decode(data: bytes) -> Heartbeat | None:
-    """Returns a heartbeat, or None for bytes that are none."""
+def decode(data: bytes) -> Message | None:
+    """Returns a message, or None for bytes that are none."""
     try:
-        beat = _DECODER.decode(data)
+        message = _DECODER.decode(data)
     except msgspec.DecodeError:
         return None
-    return beat if beat.format == FORMAT else None
+    return message if message.format == FORMAT else None
--- a/packages/entry/src/magnoliacrank/entry/heartbeat_link.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat_link.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+import attrs
+
 from magnoliacrank.entry import heartbeat
 from magnoliacrank.entry import owned_task
 
@@ -14,12 +16,7 @@
 
     from magnoliacrank.entry import event_log
     from magnoliacrank.policy import crew_roster
-
-OFTEN_S = 0.2
-"""Interval of the crew's heartbeats; `CREW_SILENCE_S` spans three."""
-
-SELDOM_S = 1.0
-"""Interval of all other heartbeats."""
+    from magnoliacrank.policy import mesh_protocol
 
 
 class HeartbeatSource(Protocol):
@@ -38,7 +35,8 @@
     Args:
         ip: IP address of this instance.
         port: UDP port, the same on all instances.
-        roster: Instances to which heartbeats go.
+        roster: Who is alive.
+        protocol: Whom heartbeats go to, and how they are answered.
         source: Contents of heartbeats.
         log: Where faults are logged.
         clock: Seconds that go on while the machine is suspended.
@@ -49,6 +47,7 @@
         ip: str,
         port: int,
         roster: crew_roster.CrewRoster,
+        protocol: mesh_protocol.MeshProtocol,
         source: HeartbeatSource,
         log: event_log.EventLog,
         clock: Callable[[], float],
@@ -57,6 +56,7 @@
         self._ip = ip
         self._port = port
         self._roster = roster
+        self._protocol = protocol
         self._source = source
         self._clock = clock
         self._transport: asyncio.DatagramTransport | None = None
@@ -89,25 +89,49 @@
     def datagram_received(self, data: bytes, addr: object) -> None:
         """A datagram arrived."""
         del addr
-        beat = heartbeat.decode(data)
-        if beat is not None:
-            self._source.on_heartbeat(beat)
+        message = heartbeat.decode(data)
+        if isinstance(message, heartbeat.InstanceList):
+            is_moved = self._protocol.on_list(
+                message.facts, message.data_centre, self._clock()
+            )
+            if is_moved:
+                self.send_now()
+        elif message is not None:
+            self._on_heartbeat(message)
 
     def error_received(self, exc: Exception) -> None:
         """A datagram could not be delivered; silence tells the rest."""
         del exc
 
+    def _on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
+        fact = beat.fact
+        now_s = self._clock()
+        is_list_due = self._protocol.on_heartbeat(
+            fact, beat.mesh_mark, beat.lost, now_s
+        )
+        self._source.on_heartbeat(beat)
+        if is_list_due:
+            message = heartbeat.InstanceList(
+                heartbeat.FORMAT,
+                self._roster.own.data_centre,
+                [
+                    attrs.astuple(item)
+                    for item in self._protocol.list_for(now_s)
+                ],
+            )
+            self._send(heartbeat.encode(message), fact.ip)
+
     async def _run(self) -> None:
         number = 0
         while True:
             self._wake.clear()
             beat = self._source.next_heartbeat()
             data = heartbeat.encode(beat)
-            for ip in self._roster.recipients(number, self._clock()):
+            now_s = self._clock()
+            for ip in self._protocol.recipients(number, now_s):
                 self._send(data, ip)
-            interval_s = OFTEN_S if beat.fact.is_frequent else SELDOM_S
             try:
-                async with asyncio.timeout(interval_s):
+                async with asyncio.timeout(self._protocol.interval_s(now_s)):
                     await self._wake.wait()
                 number = 0
             except TimeoutError:
--- a/packages/entry/src/magnoliacrank/entry/peer_records.py
+++ b/packages/entry/src/magnoliacrank/entry/peer_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from magnoliacrank.platform import store_records
@@ -13,7 +15,14 @@
 """Key, value and offset."""
 
 
-class PeerRecords(msgspec.Struct, array_like=True):
+StateRow = tuple[str, str, str]
+"""Service, target version and state of a roll-out."""
+
+_COMPRESSION_LEVEL = 1
+_MAX_CONTENT_BYTES = 64_000_000
+
+
+class Changes(msgspec.Struct, array_like=True):
     """Changes that the asking instance lacks."""
 
     operators: list[RecordRow]
@@ -22,6 +31,17 @@
     servers: list[RecordRow]
     """Records of backend servers."""
 
+    states: list[StateRow] | None
+    """Recorded states of roll-outs; None if the sender has not read them."""
+
+
+class PeerRecords(msgspec.Struct, array_like=True):
+    """Answer to an instance that lacks changes."""
+
+    content: bytes
+    """Encoded and compressed `Changes`; made once for all that ask for the
+    same."""
+
     operators_mark: int
     """Offset after the newest change by operators that the sender knows."""
 
@@ -34,6 +54,7 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PeerRecords)
+_CHANGES_DECODER = msgspec.msgpack.Decoder(Changes)
 
 
 def encode(records: PeerRecords) -> bytes:
@@ -49,6 +70,21 @@
         return None
 
 
+def pack(changes: Changes) -> bytes:
+    """Returns the content of an answer."""
+    return zlib.compress(_ENCODER.encode(changes), _COMPRESSION_LEVEL)
+
+
+def unpack(content: bytes) -> Changes | None:
+    """Returns what an answer holds, or None for bytes that hold nothing."""
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(content, _MAX_CONTENT_BYTES)
+        return _CHANGES_DECODER.decode(data)
+    except (zlib.error, msgspec.DecodeError):
+        return None
+
+
 def to_rows(records: list[store_records.KeyedRecord]) -> list[RecordRow]:
     """Returns records as rows."""
     return [(record.key, record.value, record.offset) for record in records]
--- a/packages/entry/src/magnoliacrank/entry/service_handlers.py
+++ b/packages/entry/src/magnoliacrank/entry/service_handlers.py
@@ -14,12 +14,16 @@
     from magnoliacrank.entry import entry_metrics
     from magnoliacrank.entry import site_reader
     from magnoliacrank.entry import site_view
+    from magnoliacrank.entry import trial_keeper
     from magnoliacrank.gateway import inbound_exchange
     from magnoliacrank.policy import crew_roster
 
 METRICS_PATH = "/metrics"
 """Path of the metrics on the port between instances."""
 
+_MAX_PACKED = 16
+"""Answers that are kept for others that lack the same."""
+
 _JSON = [("Content-Type", "application/json")]
 _TEXT = [("Content-Type", "text/plain; version=0.0.4")]
 
@@ -75,9 +79,7 @@
             return
         now_s = self._clock()
         data_centre = directory_wire.read_data_centre(exchange.target)
-        crew = self._roster.crew(data_centre, now_s)
-        if not crew:
-            crew = self._roster.whole_crew(now_s)
+        crew = self._roster.serving(data_centre, now_s)
         if not crew:
             await exchange.answer(503, [], b"")
             return
@@ -92,6 +94,7 @@
     Args:
         view: The records.
         reader: How old they are.
+        trials: Recorded states of roll-outs.
         metrics: Counters.
         clock: Seconds.
     """
@@ -100,11 +103,15 @@
         self,
         view: site_view.SiteView,
         reader: site_reader.SiteReader,
+        trials: trial_keeper.TrialKeeper,
         metrics: entry_metrics.EntryMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._view = view
         self._reader = reader
+        self._trials = trials
+        self._packed: dict[tuple[int, int], bytes] = {}
+        self._packed_at: object = None
         self._metrics = metrics
         self._clock = clock
 
@@ -122,20 +129,37 @@
     def _records(self, target: str) -> bytes:
         query = parse.parse_qs(target.partition("?")[2])
         view = self._view
+        since = (_offset(query, "operators"), _offset(query, "servers"))
         return peer_records.encode(
             peer_records.PeerRecords(
-                operators=peer_records.to_rows(
-                    view.operators.changes_since(_offset(query, "operators"))
-                ),
-                servers=peer_records.to_rows(
-                    view.servers.changes_since(_offset(query, "servers"))
-                ),
+                content=self._content(since),
                 operators_mark=view.operators.mark,
                 servers_mark=view.servers.mark,
                 verified_age_ms=verified_age_ms(self._reader, self._clock()),
             )
         )
 
+    def _content(self, since: tuple[int, int]) -> bytes:
+        """Returns the packed changes, made once for all that ask together."""
+        view = self._view
+        states = self._trials.states()
+        at = (view.operators.mark, view.servers.mark, states)
+        if at != self._packed_at or len(self._packed) >= _MAX_PACKED:
+            self._packed_at = at
+            self._packed = {}
+        if since not in self._packed:
+            changes = peer_records.Changes(
+                operators=peer_records.to_rows(
+                    view.operators.changes_since(since[0])
+                ),
+                servers=peer_records.to_rows(
+                    view.servers.changes_since(since[1])
+                ),
+                states=states,
+            )
+            self._packed[since] = peer_records.pack(changes)
+        return self._packed[since]
+
 
 def verified_age_ms(reader: site_reader.SiteReader, now_s: float) -> int:
     """Returns the age of an instance's proof, or -1 if it has none."""
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -1,23 +1,25 @@
 """SiteReader: keeps the view of operators and servers up to date.
 
-One instance at a time reads the store; the others hear from its heartbeats
+One instance at a time reads the store; the others hear from heartbeats
 whether they lack anything, and fetch it from an instance in their own data
-centre or from the store. Whoever hears nothing for a while reads itself.
+centre. Whoever hears nothing for a while reads itself.
 """
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
-
-import attrs
+from typing import Protocol
 
 from magnoliacrank.entry import owned_task
 from magnoliacrank.entry import peer_records
+from magnoliacrank.platform import operator_wire
 from magnoliacrank.platform import store_client
+from magnoliacrank.policy import record_sources
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import heartbeat
@@ -26,6 +28,7 @@
     from magnoliacrank.entry import site_view
     from magnoliacrank.platform import store_records
     from magnoliacrank.policy import crew_roster
+    from magnoliacrank.policy import peer_fact
 
 READ_INTERVAL_S = 0.7
 """Time between two reads by the instance whose duty they are.
@@ -38,12 +41,19 @@
 MAX_STEPS = 4
 """Places in line that are told apart."""
 
-FRESH_S = 1.3
-"""Age up to which the view may be used without asking."""
+_FOLLOWER_AGE_S = 3.0
+"""Age of its view at which a follower, which hears of changes from two members
+of a crew, asks another instance or else the store."""
+
+_PEERS_ASKED = 2
+"""Instances that are asked for records before the store is."""
 
 _TICK_S = 0.1
 """Interval at which an instance checks whether it has to read."""
 
+_SETTLE_S = 0.005
+"""Pause after news, within which more of them are taken together."""
+
 _CALL_TIMEOUT_S = 1.0
 """Longest time for one answer of the store."""
 
@@ -57,13 +67,14 @@
 """Longest time for which a request waits for a read."""
 
 
-@attrs.frozen
-class _PeerMarks:
-    data_centre: str
-    ip: str
-    operators: int
-    servers: int
-    verified_s: float
+class StateKeeper(Protocol):
+    """Who keeps the recorded states of roll-outs."""
+
+    async def load_states(self) -> bool:
+        """Reads the states, unless they are known; False if it can't."""
+
+    def take_states(self, rows: list[peer_records.StateRow]) -> None:
+        """Takes over states that another instance has read."""
 
 
 class SiteReader:
@@ -74,6 +85,8 @@
         store: Client of the store.
         peers: Fetches records from other instances.
         roster: Who is alive, and whose duty reading is.
+        sources: Whom to ask when.
+        states: Who has to know recorded states before an order takes effect.
         log: Where lost and regained dependencies are logged.
         clock: Seconds that go on while the machine is suspended.
     """
@@ -84,6 +97,8 @@
         store: store_client.StoreClient,
         peers: peer_fetcher.PeerFetcher,
         roster: crew_roster.CrewRoster,
+        sources: record_sources.RecordSources,
+        states: StateKeeper,
         log: event_log.EventLog,
         clock: Callable[[], float],
     ) -> None:
@@ -93,13 +108,16 @@
         self._roster = roster
         self._log = log
         self._clock = clock
-        self._marks: dict[str, _PeerMarks] = {}
+        self._sources = sources
+        self._states = states
         self._verified_s: float | None = None
         self._failures = 0
         self._next_try_s = 0.0
         self._reading: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._on_news: Callable[[], None] = lambda: None
+        self._on_store_read: Callable[[], None] = lambda: None
+        self._wake = asyncio.Event()
 
     @property
     def verified_s(self) -> float | None:
@@ -115,6 +133,10 @@
         """Sets what is called after a read brought changes."""
         self._on_news = handler
 
+    def set_store_read_handler(self, handler: Callable[[], None]) -> None:
+        """Sets what is called after the store was read."""
+        self._on_store_read = handler
+
     async def start(self) -> None:
         """Begins to read."""
         self._task = owned_task.spawn_loop(self._run, "site reader", self._log)
@@ -124,26 +146,31 @@
         await owned_task.stop(self._task, self._reading)
 
     def on_heartbeat(
-        self, sender: crew_roster.PeerFact, beat: heartbeat.Heartbeat
+        self, sender: peer_fact.PeerFact, beat: heartbeat.Heartbeat
     ) -> None:
         """Takes in how much another instance knows."""
         if beat.verified_age_ms < 0:
             return
         now_s = self._clock()
-        verified_s = now_s - beat.verified_age_ms / 1000
-        self._marks[sender.node] = _PeerMarks(
-            sender.data_centre,
-            sender.ip,
-            beat.operators_mark,
-            beat.servers_mark,
-            verified_s,
+        marks = record_sources.Marks(
+            node=sender.node,
+            data_centre=sender.data_centre,
+            ip=sender.ip,
+            operators=beat.operators_mark,
+            servers=beat.servers_mark,
+            verified_s=now_s - beat.verified_age_ms / 1000,
         )
-        self._take_proofs()
+        self._sources.on_marks(marks, self._seen, now_s)
+        self._take_proof(marks)
+        if self._verified_s is None or self._is_behind():
+            self._wake.set()
 
     def is_fresh(self) -> bool:
         """Whether the view may be used as it is."""
         verified_s = self._verified_s
-        if verified_s is None or self._clock() - verified_s > FRESH_S:
+        if verified_s is None:
+            return False
+        if self._clock() - verified_s > record_sources.FRESH_S:
             return False
         return not self._is_behind()
 
@@ -151,7 +178,8 @@
         """Brings the view up to date, as far as a request can wait for it."""
         if self.is_fresh() or self._clock() < self._next_try_s:
             return
-        await asyncio.wait({self._start_reading()}, timeout=_REQUEST_WAIT_S)
+        reading = self._start_reading(record_sources.Source.STORE)
+        await asyncio.wait({reading}, timeout=_REQUEST_WAIT_S)
 
     async def refresh(self, max_age_s: float) -> None:
         """Reads once more, unless the view is younger than an age.
@@ -166,104 +194,164 @@
             now_s - self._verified_s <= max_age_s and not self._is_behind()
         ):
             return
-        await asyncio.wait({self._start_reading()}, timeout=_REQUEST_WAIT_S)
+        reading = self._start_reading(record_sources.Source.STORE)
+        await asyncio.wait({reading}, timeout=_REQUEST_WAIT_S)
+
+    @property
+    def _seen(self) -> tuple[int, int]:
+        return (self._view.operators.seen, self._view.servers.seen)
 
     async def _run(self) -> None:
         while True:
-            now_s = self._clock()
-            if self._is_due(now_s):
-                await asyncio.wait({self._start_reading()})
-            await asyncio.sleep(_TICK_S)
-
-    def _is_due(self, now_s: float) -> bool:
-        if now_s < self._next_try_s:
-            return False
-        if self._verified_s is None:
-            return True
-        if self._is_behind() and self._roster.is_crew(now_s):
-            return True
+            self._wake.clear()
+            source = self._next_source(self._clock())
+            if source is not record_sources.Source.NONE:
+                await asyncio.wait({self._start_reading(source)})
+            try:
+                async with asyncio.timeout(_TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            # Marks of several instances arrive together.
+            await asyncio.sleep(_SETTLE_S)
+
+    def _next_source(self, now_s: float) -> record_sources.Source:
+        verified_s = self._verified_s
+        may_read_store = now_s >= self._next_try_s
+        source = self._sources.next_source(
+            self._place(now_s),
+            now_s,
+            is_empty=verified_s is None,
+            may_read_store=may_read_store,
+        )
+        if verified_s is None or source is not record_sources.Source.NONE:
+            return source
+        is_old = now_s - verified_s >= self._age_limit_s(now_s)
+        if is_old and may_read_store:
+            return record_sources.Source.STORE
+        return record_sources.Source.NONE
+
+    def _age_limit_s(self, now_s: float) -> float:
+        if self._roster.is_follower(now_s):
+            return _FOLLOWER_AGE_S
         place = min(self._roster.duty_order(now_s), MAX_STEPS)
-        limit_s = READ_INTERVAL_S - _TICK_S / 2 + STEP_IN_S * place
-        return now_s - self._verified_s >= limit_s
+        return READ_INTERVAL_S - _TICK_S / 2 + STEP_IN_S * place
 
-    def _is_behind(self) -> bool:
-        view = self._view
-        return any(
-            marks.operators > view.operators.seen
-            or marks.servers > view.servers.seen
-            for marks in self._marks.values()
+    def _place(self, now_s: float) -> record_sources.Place:
+        own = self._roster.own
+        mesh = self._roster.mesh(now_s)
+        local = [
+            fact.node
+            for fact in mesh.members.values()
+            if fact.data_centre == own.data_centre
+        ]
+        is_follower = own.node not in local
+        return record_sources.Place(
+            own.data_centre,
+            is_follower,
+            0 if is_follower else local[::-1].index(own.node),
         )
 
-    def _take_proofs(self) -> None:
+    def _is_behind(self) -> bool:
+        return self._sources.is_behind(self._seen)
+
+    def _take_proof(self, marks: record_sources.Marks) -> None:
         """Whoever knows no more than this instance proves its view."""
-        view = self._view
-        for marks in self._marks.values():
-            if (
-                marks.operators <= view.operators.seen
-                and marks.servers <= view.servers.seen
-                and view.plan is not None
-            ):
-                self._verify(marks.verified_s)
+        operators_seen, servers_seen = self._seen
+        if (
+            marks.operators <= operators_seen
+            and marks.servers <= servers_seen
+            and self._view.plan is not None
+        ):
+            self._verify(marks.verified_s)
 
     def _verify(self, at_s: float) -> None:
         if self._verified_s is None or at_s > self._verified_s:
             self._verified_s = at_s
 
-    def _start_reading(self) -> asyncio.Task[None]:
+    def _start_reading(
+        self, source: record_sources.Source
+    ) -> asyncio.Task[None]:
         if self._reading is None or self._reading.done():
             self._reading = owned_task.spawn(
-                self._read(), "site read", self._log
+                self._read(source), "site read", self._log
             )
         return self._reading
 
-    async def _read(self) -> None:
+    async def _read(self, source: record_sources.Source) -> None:
         before = (self._view.operators.mark, self._view.servers.mark)
-        if not (self._is_behind() and await self._read_peer()):
-            is_read = await self._read_store()
-            if not is_read:
-                await self._read_peer()
+        asks_peers_first = self._asks_peers_first()
+        is_done = asks_peers_first and await self._read_peers()
+        if not is_done and source is record_sources.Source.STORE:
+            is_done = await self._read_store()
+            if not is_done and not asks_peers_first:
+                await self._read_peers()
         if before != (self._view.operators.mark, self._view.servers.mark):
             self._on_news()
-        self._take_proofs()
+        for marks in self._sources.marks:
+            self._take_proof(marks)
 
-    async def _read_peer(self) -> bool:
-        """Fetches what is missing from the best instance; True if it had it.
+    def _asks_peers_first(self) -> bool:
+        """Whether others are asked before the store.
 
-        Of those that know all, one in the own data centre is preferred.
+        A member of the mesh that lacks no change reads the store itself:
+        those that it hears have no newer proof than it has.
         """
-        own = self._roster.own
+        return (
+            self._verified_s is None
+            or self._is_behind()
+            or self._roster.is_follower(self._clock())
+        )
+
+    async def _read_peers(self) -> bool:
+        """Fetches what is missing from others; True if the view is fresh."""
         now_s = self._clock()
-        known = [
-            marks
-            for marks in self._marks.values()
-            if now_s - marks.verified_s < FRESH_S
-        ]
-        if not known:
-            return False
-        best = max(
-            known,
-            key=lambda marks: (
-                marks.operators,
-                marks.servers,
-                marks.data_centre == own.data_centre,
-                marks.verified_s,
-            ),
+        found = self._sources.candidates(
+            self._place(now_s), now_s, _PEERS_ASKED
         )
+        for marks in found:
+            if await self._read_peer(marks.ip) and self.is_fresh():
+                return True
+        return False
+
+    async def _read_peer(self, ip: str) -> bool:
         view = self._view
+        asked_s = self._clock()
         found = await self._peers.fetch(
-            best.ip, view.operators.seen, view.servers.seen
+            ip, view.operators.seen, view.servers.seen
         )
-        if found is None:
+        if found is None or found.verified_age_ms < 0:
+            return False
+        changes = peer_records.unpack(found.content)
+        if changes is None:
             return False
-        asked_s = now_s
-        self._apply(view.operators, peer_records.from_rows(found.operators))
-        self._apply(view.servers, peer_records.from_rows(found.servers))
+        operators = peer_records.from_rows(changes.operators)
+        if changes.states is not None:
+            self._states.take_states(changes.states)
+        if not await self._knows_states_of(operators):
+            return False
+        self._apply(view.operators, operators)
+        self._apply(view.servers, peer_records.from_rows(changes.servers))
         view.operators.note_seen(found.operators_mark)
         view.servers.note_seen(found.servers_mark)
-        if found.verified_age_ms >= 0:
-            self._verify(asked_s - found.verified_age_ms / 1000)
+        self._sources.on_read(self._seen, self._clock(), is_complete=False)
+        self._verify(asked_s - found.verified_age_ms / 1000)
         return not self._is_behind()
 
+    async def _knows_states_of(
+        self, records: Iterable[store_records.KeyedRecord]
+    ) -> bool:
+        """Whether recorded states are known, if records hold an order.
+
+        An earlier process may have recorded the outcome of the order.
+        """
+        has_order = any(
+            record.value is not None
+            and operator_wire.rollout_service(record.key) is not None
+            for record in records
+        )
+        return not has_order or await self._states.load_states()
+
     async def _read_store(self) -> bool:
         started_s = self._clock()
         view = self._view
@@ -275,6 +363,8 @@
         self._note(failure)
         if failure is None:
             self._verify(started_s)
+            self._sources.on_read(self._seen, self._clock(), is_complete=True)
+            self._on_store_read()
         return failure is None
 
     async def _read_topic(
@@ -285,6 +375,8 @@
                 topic, view.next_offset, 0.0, _CALL_TIMEOUT_S
             )
             if not isinstance(page, store_client.StoreFailure):
+                if view is self._view.operators:
+                    await self._knows_states_of(page.records)
                 self._apply(view, list(page.records))
                 view.advance(page.next_offset)
                 return None
@@ -294,6 +386,8 @@
         newest = await self._store.newest(topic, _CALL_TIMEOUT_S)
         if isinstance(newest, store_client.StoreFailure):
             return newest
+        if view is self._view.operators:
+            await self._knows_states_of(newest.records)
         changed = view.replace(newest)
         self._apply_changes(view, changed)
         return None
--- a/packages/platform/src/magnoliacrank/platform/settings_file.py
+++ b/packages/platform/src/magnoliacrank/platform/settings_file.py
@@ -92,6 +92,9 @@
     bounds: SafetyBounds
     """Bounds on the whole system."""
 
+    seeds: tuple[str, ...] = ()
+    """IP addresses of a few instances, which may be stale or down."""
+
     cores: float = 1.0
     """Processor of the instance, in cores of usual speed."""
 
@@ -171,6 +174,7 @@
         store=read(_read_address, platform, "address"),
         heartbeat_s=read(wire_values.read_duration_s, document, "heartbeat"),
         bounds=_read_bounds(document.get("bounds"), errors),
+        seeds=_read_seeds(document.get("seeds"), errors),
         **_read_limits(document.get("limits"), errors),
     )
     if errors:
@@ -184,6 +188,21 @@
     )
 
 
+def _read_seeds(values: Any, errors: list[str]) -> tuple[str, ...]:
+    """Reads the addresses of other instances; absent ones are none."""
+    if not isinstance(values, list):
+        return ()
+    found = []
+    for value in values:
+        try:
+            host, _ = wire_values.parse_address(str(value), "seed")
+        except wire_values.WireValueError as error:
+            errors.append(str(error))
+            continue
+        found.append(host)
+    return tuple(found)
+
+
 _BOUNDS = {
     "drain_s": ("drain", wire_values.read_duration_s),
     "grace_s": ("grace", wire_values.read_duration_s),
--- a/packages/policy/src/magnoliacrank/policy/crash_register.py
+++ b/packages/policy/src/magnoliacrank/policy/crash_register.py
@@ -15,6 +15,11 @@
 """Time for which a crash counts, in seconds."""
 
 
+_RELAYED_S = 5.0
+"""Time for which a follower refuses what a guardian told it to, in seconds;
+each heartbeat renews it."""
+
+
 @attrs.define
 class _Record:
     crashes: int = 0
@@ -27,6 +32,7 @@
     def __init__(self) -> None:
         self._own: dict[str, _Record] = {}
         self._peers: dict[str, dict[str, tuple[int, float]]] = {}
+        self._blocked_until_s: dict[str, float] = {}
 
     def on_crash(self, fingerprint: str, now_s: float) -> None:
         """Counts a connection that was lost while a request ran.
@@ -74,6 +80,34 @@
             del self._own[fingerprint]
         return {name: record.crashes for name, record in self._own.items()}
 
+    def blocked(self, now_s: float) -> list[str]:
+        """Returns the requests that are refused, for followers.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        known = set(self._own)
+        for crashes in self._peers.values():
+            known.update(crashes)
+        return [
+            fingerprint
+            for fingerprint in known
+            if self._crashes(fingerprint, now_s) >= BLOCKING_CRASHES
+        ]
+
+    def block(self, fingerprints: list[str], now_s: float) -> None:
+        """Takes over which requests the mesh refuses.
+
+        Args:
+            fingerprints: Identities of the requests.
+            now_s: Monotonic time in seconds.
+        """
+        for fingerprint in fingerprints:
+            self._blocked_until_s[fingerprint] = now_s + _RELAYED_S
+        for fingerprint, until_s in list(self._blocked_until_s.items()):
+            if now_s > until_s:
+                del self._blocked_until_s[fingerprint]
+
     def is_blocked(self, fingerprint: str, now_s: float) -> bool:
         """Whether a request is to be refused.
 
@@ -81,6 +115,11 @@
             fingerprint: Identity of the request's content and caller.
             now_s: Monotonic time in seconds.
         """
+        if now_s <= self._blocked_until_s.get(fingerprint, 0.0):
+            return True
+        return self._crashes(fingerprint, now_s) >= BLOCKING_CRASHES
+
+    def _crashes(self, fingerprint: str, now_s: float) -> int:
         record = self._own.get(fingerprint)
         crashes = 0
         if record and now_s - record.last_s <= WINDOW_S:
@@ -89,4 +128,4 @@
             count, last_s = known.get(fingerprint, (0, 0.0))
             if now_s - last_s <= WINDOW_S:
                 crashes += count
-        return crashes >= BLOCKING_CRASHES
+        return crashes
--- a/packages/policy/src/magnoliacrank/policy/crew_roster.py
+++ b/packages/policy/src/magnoliacrank/policy/crew_roster.py
@@ -1,137 +1,90 @@
-"""CrewRoster: which instances live, and which of them carry the traffic.
+"""CrewRoster: which instances live, and what follows for this one.
 
 Load pattern: an instance is lost, frozen or stopped while requests arrive.
 The crew of a data centre changes within a second, and every limit that has
 one owner (a cold backend server) moves with it.
-
-Load pattern: a few large instances stand beside many small ones, and an upload
-on a small one's link delays every request behind it. Callers spread evenly
-over the crew, so it is made of the largest instances, as many as can each
-carry an even share.
 """
 
 from __future__ import annotations
 
-import functools
-
 import attrs
-import xxhash
+
+from magnoliacrank.policy import peer_fact
+from magnoliacrank.policy import site_mesh
 
 CREW_SILENCE_S = 0.7
-"""Silence after which a member of a crew is left out; a little over three
-heartbeats, so that two may be lost."""
+"""Silence after which a member of the own data centre's mesh is left out; a
+little over three heartbeats, so that two may be lost."""
 
 MEMBER_SILENCE_S = 3.5
-"""Silence after which another instance is left out; three heartbeats. It also
-holds for crews of other data centres, which are heard more seldom."""
+"""Silence after which a member of the mesh leaves out others; three
+heartbeats. A follower allows it to members of the mesh, of which it hears once
+a second."""
 
-REMOTE_SILENCE_S = 7.0
-"""Silence after which an instance beside the crew of another data centre is
-left out; three heartbeats."""
+FOLLOWER_SILENCE_S = 11.0
+"""Silence after which a follower leaves out another one; two heartbeats."""
 
 FORGET_S = 60.0
 """Silence after which an instance is no longer sent heartbeats."""
 
-MIN_CREW_SIZE = 2
-"""Least instances that carry a data centre's traffic; one loss leaves one."""
-
-SERVERS_PER_CORE = 20.0
-"""Backend servers that one core's worth of crew serves. At 4 to 5 ms for each
-request a core carries 200 to 250 requests a second, and twenty servers answer
-about 200 at their usual load."""
-
-LINK_MBPS_PER_CORE = 20.0
-"""Link in Mbit/s that goes with a core's worth of requests. Of 200 requests a
-second one in eleven is an upload of 60 KB: 9 Mbit/s each way, and as much
-again so that uploads seldom wait for each other."""
-
-
-@attrs.frozen
-class PeerFact:
-    """What one heartbeat says of its sender."""
-
-    node: str
-    """Name of the instance."""
-
-    data_centre: str
-    """Data centre in which it stands."""
-
-    ip: str
-    """IP address of the instance."""
+_TOLD_S = 2.5
+"""Time for which heartbeats tell of an instance that fell silent; two that go
+to a follower."""
 
-    incarnation: int
-    """Unix millisecond of its start."""
+_HEARD_S = 1.2
+"""Time since a heartbeat beyond which a member believes that its sender is
+lost; a follower believes it after `_FOLLOWER_HEARD_S`."""
 
-    is_ready: bool
-    """Whether it can serve."""
-
-    is_leaving: bool
-    """Whether it is shutting down."""
-
-    is_frequent: bool
-    """Whether it sends heartbeats at the crew's rate."""
-
-    capacity: float
-    """Cores' worth of requests that it can carry."""
+_FOLLOWER_HEARD_S = 0.3
 
 
 @attrs.define
 class _Member:
-    fact: PeerFact
+    fact: peer_fact.PeerFact
     heard_s: float
 
 
-def capacity(cores: float, link_mbps: float) -> float:
-    """Returns the cores' worth of requests that an instance can carry.
-
-    Args:
-        cores: Processor, in cores of usual speed.
-        link_mbps: Bandwidth of its link.
-    """
-    return min(cores, link_mbps / LINK_MBPS_PER_CORE)
-
-
-@functools.cache
-def _hash(node: str) -> int:
-    return xxhash.xxh64_intdigest(node.encode())
-
-
-def _rank(fact: PeerFact) -> tuple[float, int]:
-    return (-fact.capacity, _hash(fact.node))
-
-
-def _weight(node: str, server_id: str) -> int:
-    return xxhash.xxh64_intdigest(f"{node}/{server_id}".encode())
-
-
 class CrewRoster:
     """Instances by name, with the time each was heard last.
 
+    What follows from them is derived once, and kept until a member comes,
+    goes, changes or falls silent.
+
     Args:
         own: Facts about this instance.
     """
 
-    def __init__(self, own: PeerFact) -> None:
+    def __init__(self, own: peer_fact.PeerFact) -> None:
         self._own = own
         self._servers: dict[str, int] = {}
         self._members: dict[str, _Member] = {}
         self._addresses: dict[str, float] = {}
+        self._mesh: site_mesh.SiteMesh | None = None
+        self._left_out: set[str] = set()
+        self._lost_s: dict[str, float] = {}
+        self._valid_until_s = 0.0
+        self._is_follower = False
+        self._owners: dict[str, str | None] = {}
 
     @property
-    def own(self) -> PeerFact:
+    def own(self) -> peer_fact.PeerFact:
         """Facts about this instance."""
         return self._own
 
-    def set_own(self, own: PeerFact) -> None:
+    def set_own(self, own: peer_fact.PeerFact) -> None:
         """Replaces the facts about this instance."""
-        self._own = own
+        if own != self._own:
+            self._own = own
+            self._mesh = None
 
     def set_servers(self, counts: dict[str, int]) -> None:
         """Sets the number of backend servers of each data centre.
 
         All instances know the same servers, so they agree on crew sizes.
         """
-        self._servers = counts
+        if counts != self._servers:
+            self._servers = counts
+            self._mesh = None
 
     def introduce(self, ip: str, now_s: float) -> None:
         """Notes an address at which an instance may listen.
@@ -143,7 +96,7 @@
         if ip != self._own.ip:
             self._addresses[ip] = now_s
 
-    def hear(self, fact: PeerFact, now_s: float) -> None:
+    def hear(self, fact: peer_fact.PeerFact, now_s: float) -> None:
         """Takes in a heartbeat; one of an older incarnation is ignored.
 
         Args:
@@ -160,70 +113,140 @@
         ):
             # Beyond that time its clock was set back before it started anew.
             return
-        self._members[fact.node] = _Member(fact, now_s)
         self._addresses[fact.ip] = now_s
+        if known is not None and known.fact == fact:
+            known.heard_s = now_s
+            if fact.node not in self._left_out:
+                return
+        else:
+            self._members[fact.node] = _Member(fact, now_s)
+        self._mesh = None
 
-    def recipients(self, number: int, now_s: float) -> list[str]:
-        """Returns the addresses that a heartbeat goes to.
+    def vouch(self, now_s: float) -> None:
+        """A neighbour sees the same mesh: members elsewhere live.
 
         Args:
-            number: Number of the heartbeat; 0 goes to all.
             now_s: Monotonic time in seconds.
         """
-        old = [
-            ip
-            for ip, heard_s in self._addresses.items()
-            if now_s - heard_s > FORGET_S
-        ]
-        for ip in old:
-            del self._addresses[ip]
-        facts = {
-            member.fact.ip: member.fact for member in self._members.values()
-        }
+        for node, fact in self.mesh(now_s).members.items():
+            member = self._members.get(node)
+            if member is not None and not self._is_local(fact):
+                member.heard_s = now_s
+
+    def adopt(
+        self, facts: list[peer_fact.PeerFact], data_centre: str, now_s: float
+    ) -> None:
+        """Takes over another instance's list.
+
+        Whoever was never heard counts as heard now; to one that is held for
+        lost, only heartbeats are sent: two that tell each other of a lost one
+        would keep it alive. A follower believes its neighbours' lists on
+        other data centres, and a member of the mesh believes a list on who is
+        lost in the data centre that it comes from.
+
+        Args:
+            facts: Neighbours of its sender, and the mesh that it sees.
+            data_centre: Data centre of its sender.
+            now_s: Monotonic time in seconds.
+        """
+        is_follower = self.is_follower(now_s)
+        is_neighbour = data_centre == self._own.data_centre
+        for fact in facts:
+            is_believed = (
+                is_follower and is_neighbour and not self._is_local(fact)
+            )
+            if fact.node not in self._members or is_believed:
+                self.hear(fact, now_s)
+            elif fact.node in self._left_out:
+                self._members[fact.node].fact = fact
+                self.introduce(fact.ip, now_s)
+        listed = {fact.node for fact in facts}
+        if is_neighbour and not is_follower:
+            return
+        for node, member in self._members.items():
+            if node in listed or self._is_local(member.fact):
+                continue
+            is_lost = member.fact.data_centre == data_centre and (
+                now_s - member.heard_s > CREW_SILENCE_S
+            )
+            if is_lost or (is_follower and is_neighbour):
+                self._lose(member)
+
+    def on_lost(self, nodes: list[str], now_s: float) -> None:
+        """Takes in that a neighbour in the mesh no longer hears some others.
+
+        Args:
+            nodes: Names of instances of this data centre.
+            now_s: Monotonic time in seconds.
+        """
+        limit_s = _FOLLOWER_HEARD_S if self.is_follower(now_s) else _HEARD_S
+        for node in nodes:
+            member = self._members.get(node)
+            if member is not None and now_s - member.heard_s > limit_s:
+                self._lose(member)
+
+    def lost(self, now_s: float) -> list[str]:
+        """Returns neighbours that fell silent a moment ago.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        self.mesh(now_s)
         return [
-            ip
-            for ip in self._addresses
-            if number % self._every(facts.get(ip)) == 0
+            node
+            for node, lost_s in self._lost_s.items()
+            if now_s - lost_s < _TOLD_S
         ]
 
-    def alive(self, now_s: float) -> list[PeerFact]:
+    def mesh(self, now_s: float) -> site_mesh.SiteMesh:
+        """Returns who carries traffic and duties.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        if self._mesh is None or now_s > self._valid_until_s:
+            self._mesh = self._derive(now_s)
+        return self._mesh
+
+    def alive(self, now_s: float) -> list[peer_fact.PeerFact]:
         """Returns the instances that can serve, this one included, by rank.
 
         Args:
             now_s: Monotonic time in seconds.
         """
-        facts = [
-            member.fact
-            for member in self._members.values()
-            if self._is_heard(member, now_s)
-        ]
-        facts.append(self._own)
-        usable = [
-            fact for fact in facts if fact.is_ready and not fact.is_leaving
-        ]
-        return sorted(usable, key=_rank)
+        return [fact for fact in self.mesh(now_s).present if fact.can_serve]
 
-    def crew(self, data_centre: str, now_s: float) -> list[PeerFact]:
+    def crew(self, data_centre: str, now_s: float) -> list[peer_fact.PeerFact]:
         """Returns the instances that carry a data centre's traffic.
 
         Args:
             data_centre: Name of the data centre.
             now_s: Monotonic time in seconds.
         """
-        return self._crew_of(self.alive(now_s), data_centre)
+        return self.mesh(now_s).crew(data_centre)
 
-    def whole_crew(self, now_s: float) -> list[PeerFact]:
+    def whole_crew(self, now_s: float) -> list[peer_fact.PeerFact]:
         """Returns the crews of all data centres, by rank.
 
         Args:
             now_s: Monotonic time in seconds.
         """
-        alive = self.alive(now_s)
-        places = {fact.data_centre for fact in alive}
-        crew = [
-            fact for place in places for fact in self._crew_of(alive, place)
-        ]
-        return sorted(crew, key=_rank)
+        return self.mesh(now_s).whole_crew()
+
+    def serving(
+        self, data_centre: str, now_s: float
+    ) -> list[peer_fact.PeerFact]:
+        """Returns the crew that callers of a data centre are sent to.
+
+        One that just took the place of a lost one is named once its own
+        heartbeats show that it knows.
+
+        Args:
+            data_centre: Name of the data centre.
+            now_s: Monotonic time in seconds.
+        """
+        crew = self.crew(data_centre, now_s) or self.whole_crew(now_s)
+        return [fact for fact in crew if fact.is_frequent] or crew
 
     def is_crew(self, now_s: float) -> bool:
         """Whether this instance carries traffic.
@@ -233,6 +256,25 @@
         """
         return self._own in self.crew(self._own.data_centre, now_s)
 
+    def is_follower(self, now_s: float) -> bool:
+        """Whether this instance stands beside the mesh.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        self.mesh(now_s)
+        return self._is_follower
+
+    def is_alone(self, now_s: float) -> bool:
+        """Whether no other instance is heard.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        return all(
+            fact.node == self._own.node for fact in self.mesh(now_s).present
+        )
+
     def is_owner(self, server_id: str, data_centre: str, now_s: float) -> bool:
         """Whether this instance is the one that may use a cold server.
 
@@ -244,69 +286,96 @@
             data_centre: Data centre of the backend server.
             now_s: Monotonic time in seconds.
         """
-        alive = self.alive(now_s)
-        crew = self._crew_of(alive, data_centre) or alive
-        if not crew:
-            return False
-        owner = max(
-            crew,
-            key=lambda fact: _weight(fact.node, server_id),
-        )
-        return owner.node == self._own.node
+        mesh = self.mesh(now_s)
+        if server_id not in self._owners:
+            crew = mesh.crew(data_centre) or mesh.whole_crew()
+            owner = max(
+                crew,
+                key=lambda fact: peer_fact.affinity(fact.node, server_id),
+                default=None,
+            )
+            self._owners[server_id] = None if owner is None else owner.node
+        return self._owners[server_id] == self._own.node
 
     def duty_order(self, now_s: float) -> int:
         """Returns this instance's place in line for singular duties, from 0.
 
-        The line runs against the ranks of the crews, so that an instance
-        without traffic holds the duties where there is one.
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        return self.mesh(now_s).duty_order(self._own.node)
+
+    def unheard(self, now_s: float) -> list[str]:
+        """Returns addresses that may belong to members, but are not heard.
 
         Args:
             now_s: Monotonic time in seconds.
         """
-        own = _rank(self._own)
-        return sum(_rank(fact) > own for fact in self.alive(now_s))
-
-    def _is_heard(self, member: _Member, now_s: float) -> bool:
-        is_local = member.fact.data_centre == self._own.data_centre
-        limit_s = _SILENCE_S[is_local, member.fact.is_frequent]
-        return now_s - member.heard_s <= limit_s
-
-    def _every(self, fact: PeerFact | None) -> int:
-        is_often = self._own.is_frequent
-        if fact is None:
-            return _EVERY[is_often, False, False]
-        is_local = fact.data_centre == self._own.data_centre
-        return _EVERY[is_often, is_local, fact.is_frequent]
-
-    def _crew_of(
-        self, alive: list[PeerFact], data_centre: str
-    ) -> list[PeerFact]:
-        local = [fact for fact in alive if fact.data_centre == data_centre]
-        needed = self._servers.get(data_centre, 0) / SERVERS_PER_CORE
-        for size in range(MIN_CREW_SIZE, len(local)):
-            if size * local[size - 1].capacity >= needed:
-                return local[:size]
-        return local
+        for ip in list(self._addresses):
+            if now_s - self._addresses[ip] > FORGET_S:
+                del self._addresses[ip]
+        mesh = self.mesh(now_s)
+        heard = {fact.ip for fact in mesh.present}
+        beside = {
+            member.fact.ip
+            for member in self._members.values()
+            if not member.fact.is_frequent
+        }
+        return [
+            ip for ip in self._addresses if ip not in heard and ip not in beside
+        ]
+
+    def _is_local(self, fact: peer_fact.PeerFact) -> bool:
+        return fact.data_centre == self._own.data_centre
+
+    def _lose(self, member: _Member) -> None:
+        member.heard_s = float("-inf")
+        self._mesh = None
+
+    def _derive(self, now_s: float) -> site_mesh.SiteMesh:
+        facts = [] if self._own.is_leaving else [self._own]
+        before, self._left_out = self._left_out, set()
+        valid_until_s = float("inf")
+        for node, member in self._members.items():
+            end_s = member.heard_s + self._silence_s(member.fact)
+            if now_s > end_s:
+                self._left_out.add(node)
+                if node not in before and self._is_local(member.fact):
+                    self._lost_s[node] = now_s
+                continue
+            self._lost_s.pop(node, None)
+            valid_until_s = min(valid_until_s, end_s)
+            if not member.fact.is_leaving:
+                facts.append(member.fact)
+        self._valid_until_s = valid_until_s
+        self._owners = {}
+        mesh = site_mesh.build(facts, self._servers)
+        self._change_place(mesh, now_s)
+        return mesh
+
+    def _change_place(self, mesh: site_mesh.SiteMesh, now_s: float) -> None:
+        was_follower = self._is_follower
+        self._is_follower = self._own.node not in mesh.members
+        if was_follower and not self._is_follower:
+            # More of the neighbours' heartbeats arrive only from now on.
+            for fact in mesh.present:
+                if fact.node in self._members and self._is_local(fact):
+                    self._members[fact.node].heard_s = now_s
+
+    def _silence_s(self, fact: peer_fact.PeerFact) -> float:
+        is_local = self._is_local(fact)
+        return _SILENCE_S[self._is_follower, is_local, fact.is_frequent]
 
 
 _SILENCE_S = {
-    (True, True): CREW_SILENCE_S,
-    (True, False): MEMBER_SILENCE_S,
-    (False, True): MEMBER_SILENCE_S,
-    (False, False): REMOTE_SILENCE_S,
-}
-"""Silence allowed, by whether the sender is local and whether it is often."""
-
-_EVERY = {
-    (True, True, True): 1,
-    (True, True, False): 1,
-    (True, False, True): 2,
-    (True, False, False): 5,
-    (False, True, True): 1,
-    (False, True, False): 1,
-    (False, False, True): 2,
-    (False, False, False): 2,
+    (False, True, True): CREW_SILENCE_S,
+    (False, True, False): MEMBER_SILENCE_S,
+    (False, False, True): MEMBER_SILENCE_S,
+    (False, False, False): MEMBER_SILENCE_S,
+    (True, True, True): MEMBER_SILENCE_S,
+    (True, True, False): FOLLOWER_SILENCE_S,
+    (True, False, True): MEMBER_SILENCE_S,
+    (True, False, False): MEMBER_SILENCE_S,
 }
-"""Which of an instance's heartbeats go to another, by whether its own are
-often, whether the other is local, and whether the other's are often. Bytes
-within a data centre are free; only directories there need to know at once."""
+"""Silence allowed, by whether the listener is a follower, whether the sender
+is a neighbour, and whether the sender counts itself to the mesh."""
