Bound what a server may send that is no awaited answer

Cause: interim answers, answers to earlier requests, chunk extensions and empty lines without end were read until the deadline of the request; each body could take 64 MB whatever the machine has; an answer to another request larger than 128 KB stopped the reading of the awaited one.

Change: one exchange closes its connection beyond 32 stray answers or 4 MB of bytes that belong to no awaited body; stray bodies are read past; the bodies of an instance's answers share a tenth of its memory.

Ruled out: a bound on heads alone, since chunk extensions and trailers come later.

--- a/packages/entry/src/magnoliacrank/entry/backend_link.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_link.py
@@ -11,6 +11,7 @@
 from multidict import CIMultiDictProxy
 
 from magnoliacrank.gateway import answer as answers
+from magnoliacrank.gateway import answer_memory
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import outbound_head
 from magnoliacrank.gateway import server_connection
@@ -73,6 +74,8 @@
         host: IP address.
         port: TCP port.
         on_opened: Called with each new connection.
+        memory: Room for answers; without it, one answer has a bound of its
+            own.
     """
 
     def __init__(
@@ -80,10 +83,12 @@
         host: str,
         port: int,
         on_opened: Callable[[], None] = lambda: None,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self._host = host
         self._port = port
         self._on_opened = on_opened
+        self._memory = memory or answer_memory.AnswerMemory(_MAX_ANSWER_BYTES)
         self._idle: list[server_connection.ServerConnection] = []
         self._busy: set[server_connection.ServerConnection] = set()
         self._idle_s = _DEFAULT_IDLE_S
@@ -177,18 +182,36 @@
         if isinstance(head, ExchangeFailure):
             return head
         answer = answers.Answer(connection, head)
-        content = await answer.read_all(_MAX_ANSWER_BYTES)
+        content = await self._read_body(answer)
         if isinstance(content, ExchangeFailure):
+            connection.retire(content.kind)
             return content
-        if content is None:
-            connection.retire(FailureKind.TRUNCATED)
-            return ExchangeFailure(FailureKind.TRUNCATED)
         stated_s = request_wire.read_keep_alive_s(answer.headers)
         if stated_s is not None:
             self._idle_s = max(stated_s - _IDLE_MARGIN_S, 0.0)
         answer.release()
         return WholeAnswer(answer.status, answer.headers, content)
 
+    async def _read_body(
+        self, answer: answers.Answer
+    ) -> bytes | ExchangeFailure:
+        """Reads a body as far as there is room for it."""
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            while True:
+                chunk = await answer.read_chunk()
+                if isinstance(chunk, ExchangeFailure):
+                    return chunk
+                if not chunk:
+                    return b"".join(chunks)
+                if not self._memory.try_take(len(chunk)):
+                    return ExchangeFailure(FailureKind.TRUNCATED)
+                size += len(chunk)
+                chunks.append(chunk)
+        finally:
+            self._memory.release(size)
+
     def _take_idle(self) -> server_connection.ServerConnection | None:
         now_s = time.monotonic()
         while self._idle:
--- a/packages/entry/src/magnoliacrank/entry/backend_table.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_table.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from magnoliacrank.entry import event_log
+    from magnoliacrank.gateway import answer_memory
 
 PROBE_TIMEOUT_S = 0.25
 """Longest time for a health request; beyond it the server is silent."""
@@ -91,6 +92,7 @@
         clock: Seconds.
         probes_per_s: Returns the health requests a second that one server
             may get from this instance.
+        memory: Room for answers.
     """
 
     def __init__(
@@ -98,10 +100,12 @@
         log: event_log.EventLog,
         clock: Callable[[], float],
         probes_per_s: Callable[[], float],
+        memory: answer_memory.AnswerMemory,
     ) -> None:
         self._log = log
         self._clock = clock
         self._probes_per_s = probes_per_s
+        self._memory = memory
         self._backends: dict[str, Backend] = {}
         self.probes_sent = 0
         self.connections_opened = 0
@@ -125,7 +129,10 @@
             backend = Backend(
                 entry=entry,
                 link=backend_link.BackendLink(
-                    entry.host, entry.port, self._count_connection
+                    entry.host,
+                    entry.port,
+                    self._count_connection,
+                    self._memory,
                 ),
                 health=backend_health.BackendHealth(),
                 probes=rate_bucket.RateBucket(
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -22,6 +22,7 @@
     from magnoliacrank.entry import entry_state
     from magnoliacrank.entry import site_reader
     from magnoliacrank.entry import site_view
+    from magnoliacrank.gateway import answer_memory
     from magnoliacrank.gateway import inbound_exchange
     from magnoliacrank.model import route_plan
 
@@ -60,6 +61,7 @@
         view: Configuration and servers.
         reader: Keeps the view up to date.
         body_memory_bytes: Bytes of bodies that may be held at once.
+        answers: Room for answers.
     """
 
     def __init__(
@@ -68,11 +70,13 @@
         view: site_view.SiteView,
         reader: site_reader.SiteReader,
         body_memory_bytes: int,
+        answers: answer_memory.AnswerMemory,
     ) -> None:
         self._state = state
         self._view = view
         self._reader = reader
         self._body_memory_bytes = body_memory_bytes
+        self._answers = answers
         self._held_bytes = 0
 
     async def on_request(
@@ -229,8 +233,12 @@
             length = int(answer.headers.get(hdrs.CONTENT_LENGTH, "0"))
         fields = framing.end_to_end(answer.headers)
         exchange.start_answer(answer.status, fields, length)
-        await exchange.write(answer.content)
-        await exchange.finish()
+        self._answers.hold(length)
+        try:
+            await exchange.write(answer.content)
+            await exchange.finish()
+        finally:
+            self._answers.release(length)
 
     def _log_answer(
         self, job: jobs.Job, status: int, duration_s: float
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -24,6 +24,7 @@
 from magnoliacrank.entry import site_reader
 from magnoliacrank.entry import site_view
 from magnoliacrank.entry import trial_keeper
+from magnoliacrank.gateway import answer_memory
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
@@ -52,6 +53,10 @@
 """Part of the memory that bodies may take; each is held up to three times, as
 read, as encoded for a server and in the socket's buffer."""
 
+_ANSWER_MEMORY_SHARE = 0.1
+"""Part of the memory that answers may take; each is held up to twice, in
+chunks and joined."""
+
 _PROBE_SHARE = 0.8
 """Part of the operators' bound on health requests that is used."""
 
@@ -108,8 +113,11 @@
             self.log,
             clock,
         )
+        answers = answer_memory.AnswerMemory(
+            int(settings.memory_mb * 1e6 * _ANSWER_MEMORY_SHARE)
+        )
         self._table = backend_table.BackendTable(
-            self.log, clock, self._probe_rate_per_s
+            self.log, clock, self._probe_rate_per_s, answers
         )
         self._placer = placer.Placer(
             self._view,
@@ -149,6 +157,7 @@
                 self._view,
                 self._reader,
                 int(settings.memory_mb * 1e6 * _BODY_MEMORY_SHARE),
+                answers,
             ),
             limits,
         )
--- /dev/null
+++ b/packages/entry/tests/test_endless_answers.py
@@ -0,0 +1,152 @@
+"""Servers whose bytes never end, are late, or are no answer at all."""
+
+import asyncio
+import time
+
+import pytest
+
+from magnoliacrank.entry import backend_link
+from magnoliacrank.gateway import answer_memory
+from magnoliacrank.gateway import exchange_failure
+from magnoliacrank.gateway import outbound_head
+
+FailureKind = exchange_failure.FailureKind
+
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n"
+BLOCK = 64 * 1024
+
+MAX_SENT_BYTES = 48 << 20
+"""What a server may send before it is closed; buffers of both sides count."""
+
+MEMORY_BYTES = 24 << 20
+
+
+class EndlessServer:
+    """Sends a beginning, then the same block until its caller closes."""
+
+    def __init__(self, beginning, block):
+        self._beginning = beginning
+        self._block = block
+        self.sent = 0
+        self.is_closed = asyncio.Event()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            writer.write(self._beginning)
+            while self._block:
+                writer.write(self._block)
+                await writer.drain()
+                self.sent += len(self._block)
+            await reader.read()
+        except ConnectionError:
+            pass
+        self.is_closed.set()
+        writer.close()
+
+
+async def _exchange(port, timeout_s=5.0, **fields):
+    link = backend_link.BackendLink("127.0.0.1", port, **fields)
+    head = outbound_head.OutboundHead("GET", "/", [("Host", "h")])
+    found = await link.exchange(
+        backend_link.Sendable(head, b"", "r1"), timeout_s
+    )
+    link.close()
+    return found
+
+
+@pytest.mark.parametrize(
+    ("beginning", "block"),
+    [
+        pytest.param(b"", b"x" * BLOCK, id="no status line"),
+        pytest.param(b"", b"\r\n" * (BLOCK // 2), id="empty lines"),
+        pytest.param(b"HTTP/1.1 200 ", b"x" * BLOCK, id="reason"),
+        pytest.param(OK + b"A: ", b"x" * BLOCK, id="field"),
+        pytest.param(OK, b"A: b\r\n" * 9000, id="fields"),
+        pytest.param(b"", b"HTTP/1.1 100 Go\r\n\r\n" * 3000, id="interim"),
+        pytest.param(
+            b"",
+            (OTHER + b"Content-Length: 0\r\n\r\n") * 1000,
+            id="answers to others",
+        ),
+        pytest.param(
+            OTHER + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"ffff\r\n" + b"x" * 0xFFFF + b"\r\n",
+            id="body to another",
+        ),
+        pytest.param(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"x" * BLOCK,
+            id="chunk size",
+        ),
+        pytest.param(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n1;",
+            b"x" * BLOCK,
+            id="chunk extension",
+        ),
+        pytest.param(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"A: b\r\n" * 9000,
+            id="trailers",
+        ),
+        pytest.param(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"ffff\r\n" + b"x" * 0xFFFF + b"\r\n",
+            id="chunks",
+        ),
+        pytest.param(OK + b"\r\n", b"x" * BLOCK, id="body without length"),
+    ],
+)
+async def test_bytes_without_end_close_the_connection(beginning, block):
+    server = EndlessServer(beginning, block)
+    port = await server.start()
+    memory = answer_memory.AnswerMemory(MEMORY_BYTES)
+    started_s = time.monotonic()
+    found = await _exchange(port, memory=memory)
+    assert isinstance(found, exchange_failure.ExchangeFailure)
+    assert found.kind in (FailureKind.MALFORMED, FailureKind.TRUNCATED)
+    assert time.monotonic() - started_s < 4.0
+    async with asyncio.timeout(1.0):
+        await server.is_closed.wait()
+    assert server.sent < MAX_SENT_BYTES
+    assert memory.held_bytes == 0
+    await server.close()
+
+
+async def test_late_answer_to_another_is_read_past():
+    """It is larger than what is read ahead of a reader."""
+    body = b"x" * 400_000
+    late = OTHER + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+    server = EndlessServer(late + OK + b"Content-Length: 2\r\n\r\nok", b"")
+    port = await server.start()
+    found = await _exchange(port, timeout_s=2.0)
+    assert found.content == b"ok"
+    await server.close()
+
+
+async def test_answers_share_the_memory():
+    """Many large answers at once must not end the process."""
+    length = 10 << 20
+    beginning = OK + f"Content-Length: {length}\r\n\r\n".encode()
+    memory = answer_memory.AnswerMemory(MEMORY_BYTES)
+    servers = [EndlessServer(beginning + b"x" * length, b"") for _ in range(5)]
+    ports = [await server.start() for server in servers]
+    found = await asyncio.gather(
+        *(_exchange(port, memory=memory) for port in ports)
+    )
+    whole = [
+        item for item in found if isinstance(item, backend_link.WholeAnswer)
+    ]
+    assert 1 <= len(whole) <= 2
+    assert memory.held_bytes == 0
+    for server in servers:
+        await server.close()
--- a/packages/gateway/src/magnoliacrank/gateway/server_connection.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_connection.py
@@ -28,6 +28,17 @@
 _MAX_FIELD_BYTES = 32768
 _MAX_HEADERS = 256
 
+_MAX_STRAY_BYTES = 4 << 20
+"""Bytes of one exchange that may belong to no body that is awaited: heads,
+interim answers, answers to earlier requests, and the framing of chunks."""
+
+_MAX_STRAY_ANSWERS = 32
+"""Interim answers and answers to earlier requests in one exchange."""
+
+_MAX_STRAY_SHARE = 8
+"""Framing of chunks in bytes for each byte of the body, beyond
+`_MAX_STRAY_BYTES`; a chunk of one byte takes five more."""
+
 
 class State(enum.IntEnum):
     """State of a connection to a backend server."""
@@ -143,6 +154,9 @@
         self._account = answer_framing.ByteAccount()
         self._is_head_request = False
         self._is_last = False
+        self._received_bytes = 0
+        self._stray_answers = 0
+        self._stray_payload: streams.StreamReader | None = None
         self._exchanges = 0
         self._is_suspected = False
         self.opened_s = time.monotonic()
@@ -207,6 +221,8 @@
             self._parser = self._new_parser(has_body=not is_head_request)
         self._account.reset()
         self._is_last = False
+        self._received_bytes = 0
+        self._stray_answers = 0
         self._is_own = is_own
         self._exchanges += 1
         self._waiter = self._loop.create_future()
@@ -314,7 +330,10 @@
             return
         for message, payload in messages:
             self._on_message(message, payload)
+        self._discard_stray()
         self._check_end()
+        if self._state in _UNDER_WAY and self._is_flooded(len(data)):
+            self.retire(FailureKind.MALFORMED)
 
     def _on_message(
         self,
@@ -324,14 +343,14 @@
         if self._state is not State.WAITING:
             self._is_last = True
             return
-        if answer_framing.is_interim(message):
-            self._account.reset()
-            self._is_last = True
-            return
-        if self._is_own is not None and not self._is_own(message.headers):
+        is_interim = answer_framing.is_interim(message)
+        if is_interim or not self._is_awaited(message):
             self._account.reset()
             self._is_last = True
+            self._stray_answers += 1
+            self._stray_payload = None if is_interim else payload
             return
+        self._stray_payload = None
         frame = answer_framing.read_frame(
             message,
             is_head_request=self._is_head_request,
@@ -351,6 +370,35 @@
         if not self._waiter.done():
             self._waiter.set_result(AnswerHead(message, payload))
 
+    def _is_awaited(self, message: http_parser.RawResponseMessage) -> bool:
+        return self._is_own is None or self._is_own(message.headers)
+
+    def _is_flooded(self, size: int) -> bool:
+        """Whether the server sends too much that is no awaited body."""
+        self._received_bytes += size
+        body_bytes = 0
+        if self._payload is not None:
+            body_bytes = self._payload.total_bytes
+        stray_bytes = self._received_bytes - body_bytes
+        return (
+            stray_bytes > _MAX_STRAY_BYTES + _MAX_STRAY_SHARE * body_bytes
+            or self._stray_answers > _MAX_STRAY_ANSWERS
+        )
+
+    def _discard_stray(self) -> None:
+        """Reads past an answer to another request.
+
+        Unread, it would keep the awaited answer from being read. Reading may
+        hand on further bytes at once, which come back here.
+        """
+        payload, self._stray_payload = self._stray_payload, None
+        if payload is None:
+            return
+        while payload.read_nowait():
+            continue
+        if self._stray_payload is None and not payload.is_eof():
+            self._stray_payload = payload
+
     def _is_sending(self) -> bool:
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
