Send callers to data centres with servers; weigh the size of answers

Change: the directory names the crews of the data centres that have servers for a host's services where the callers' own has none; placement weighs the size of a route's answers as it did that of requests.

--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -119,6 +119,8 @@
             state.crashes.on_answered(job.fingerprint)
             self._learn_pace(backend, duration_s, choice)
             state.on_work(job.rule, duration_s / max(choice.slowdown, 1.0))
+            if dispatch.answer is not None:
+                state.on_answer_size(job.rule, len(dispatch.answer.content))
             return
         if (
             isinstance(outcome, exchange_failure.ExchangeFailure)
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -334,6 +334,7 @@
         if settings.directory is not None:
             directory = service_handlers.DirectoryHandler(
                 self._roster,
+                self._view,
                 settings.front[1],
                 min(_DIRECTORY_TTL_S, settings.bounds.directory_ttl_s),
                 self._clock,
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -65,6 +65,7 @@
         self._started_s = clock()
         self._allowances: dict[str, repeat_allowance.RepeatAllowance] = {}
         self._work_s: dict[str, float] = {}
+        self._answer_bytes: dict[str, float] = {}
         self._cursors: dict[str, split_cursor.SplitCursor] = {}
 
     def allowance(self, service: str) -> repeat_allowance.RepeatAllowance:
@@ -108,6 +109,15 @@
         known_s = self.work_s(rule)
         self._work_s[rule.name] = known_s + _SMOOTHING * (duration_s - known_s)
 
+    def answer_bytes(self, rule: route_plan.RouteRule) -> int:
+        """Returns the expected size of a route's answers, in bytes."""
+        return round(self._answer_bytes.get(rule.name, 0.0))
+
+    def on_answer_size(self, rule: route_plan.RouteRule, size: int) -> None:
+        """Counts the size of an answer of a route."""
+        known = self._answer_bytes.get(rule.name, float(size))
+        self._answer_bytes[rule.name] = known + _SMOOTHING * (size - known)
+
     def choose_service(self, rule: route_plan.RouteRule) -> str:
         """Returns the service that runs the next request of a route."""
         if len(rule.shares) == 1:
--- a/packages/entry/src/magnoliacrank/entry/placement_request.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -44,7 +44,7 @@
     give_up_s: float
     """Clock time until which it may wait."""
 
-    body_bytes: int
+    transfer_bytes: int
     """Size of its body."""
 
     excluded: frozenset[str]
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -343,7 +343,7 @@
             backend.health.pace,
             self.crowding_of(request.service).factor,
             is_remote=backend.entry.data_centre != self._data_centre,
-            body_bytes=request.body_bytes,
+            transfer_bytes=request.transfer_bytes,
         )
 
     def _candidates(
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -201,7 +201,7 @@
             priority=job.rule.priority,
             arrived_s=job.arrived_s,
             give_up_s=give_up_s if may_wait else job.arrived_s,
-            body_bytes=len(job.body),
+            transfer_bytes=len(job.body) + self._state.answer_bytes(job.rule),
             excluded=frozenset(self._tried),
             wants_new=wants_new,
             work_s=work_s,
--- a/packages/entry/src/magnoliacrank/entry/service_handlers.py
+++ b/packages/entry/src/magnoliacrank/entry/service_handlers.py
@@ -7,6 +7,7 @@
 
 from magnoliacrank.entry import peer_records
 from magnoliacrank.platform import directory_wire
+from magnoliacrank.policy import caller_steering
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -49,10 +50,11 @@
 
 
 class DirectoryHandler:
-    """Tells callers which instances to use: the crew of their data centre.
+    """Tells callers which instances to use: the crew of a data centre.
 
     Args:
         roster: Living instances.
+        view: Where servers are.
         front_port: Port for requests, the same on all instances.
         ttl_s: Seconds for which callers may keep the answer.
         clock: Seconds.
@@ -61,11 +63,13 @@
     def __init__(
         self,
         roster: crew_roster.CrewRoster,
+        view: site_view.SiteView,
         front_port: int,
         ttl_s: float,
         clock: Callable[[], float],
     ) -> None:
         self._roster = roster
+        self._view = view
         self._front_port = front_port
         self._ttl_s = ttl_s
         self._clock = clock
@@ -78,15 +82,31 @@
             await exchange.answer(404, [], b"")
             return
         now_s = self._clock()
-        data_centre = directory_wire.read_data_centre(exchange.target)
-        crew = self._roster.serving(data_centre, now_s)
+        crew = [
+            fact
+            for place in self._data_centres(exchange.target)
+            for fact in self._roster.serving(place, now_s)
+        ]
         if not crew:
             await exchange.answer(503, [], b"")
             return
-        addresses = [f"{fact.ip}:{self._front_port}" for fact in crew]
+        addresses = list(
+            dict.fromkeys(f"{fact.ip}:{self._front_port}" for fact in crew)
+        )
         content = directory_wire.encode_addresses(addresses, self._ttl_s)
         await exchange.answer(200, _JSON, content)
 
+    def _data_centres(self, target: str) -> list[str]:
+        data_centre = directory_wire.read_data_centre(target)
+        plan = self._view.plan
+        if plan is None:
+            return [data_centre]
+        services = plan.services_of(directory_wire.read_host(target))
+        places = {
+            service: self._view.serving_places(service) for service in services
+        }
+        return caller_steering.data_centres_for(data_centre, services, places)
+
 
 class PeerHandler:
     """Hands records to other instances, and metrics to whoever asks.
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -111,6 +111,10 @@
         """Returns the entry of a server, if it is registered."""
         return self._entries.get(server_id)
 
+    def serving_places(self, service: str) -> set[str]:
+        """Returns the data centres whose servers may get requests."""
+        return {entry.data_centre for entry in self.backends(service)}
+
     def is_usable(self, entry: backend_entry.BackendEntry) -> bool:
         """Whether a server that was chosen before may still get a request."""
         return any(
--- /dev/null
+++ b/packages/entry/tests/test_directory.py
@@ -0,0 +1,45 @@
+"""Tests of where callers are told to connect."""
+
+import json
+
+DIRECTORY = 2
+
+
+async def _addresses(site, data_centre, number=1):
+    path = f"/api/resolve?name=site.example&region=r&zone={data_centre}"
+    _, content = await site.ask(DIRECTORY, path, number)
+    return [
+        address.partition(":")[0]
+        for address in json.loads(content)["addresses"]
+    ]
+
+
+async def test_callers_of_an_evacuated_data_centre_go_where_servers_are(site):
+    await site.add_backend("s1", data_centre="a")
+    await site.add_backend("s2", data_centre="b")
+    await site.add_instance(1, "a")
+    await site.add_instance(2, "b")
+    await site.ready()
+    await site.until(
+        lambda: (
+            len(site.instances[0]._roster.alive(site.instances[0]._clock()))
+            == 2
+        )
+    )
+    assert await _addresses(site, "a") == ["127.0.0.1"]
+    site.store.put("keyed.op", "evacuate/a", b"{}")
+    await site.until(lambda: site.instances[0]._view.evacuated)
+    assert await _addresses(site, "a") == ["127.0.0.2"]
+    site.store.put("keyed.op", "evacuate/a", b"")
+    await site.until(lambda: not site.instances[0]._view.evacuated)
+    assert await _addresses(site, "a") == ["127.0.0.1"]
+
+
+async def test_expected_answers_are_weighed_once_they_are_known(site):
+    await site.add_backend("s1")
+    instance = await site.add_instance()
+    await site.ready()
+    await site.request()
+    plan = instance._view.plan
+    rule = plan.find_route("site.example", "/read/1")
+    assert instance._state.answer_bytes(rule) == len("s1")
--- a/packages/model/src/magnoliacrank/model/route_plan.py
+++ b/packages/model/src/magnoliacrank/model/route_plan.py
@@ -125,6 +125,18 @@
         ]
         return min(ranks, default=0)
 
+    def services_of(self, host: str) -> set[str]:
+        """Returns the services that a host's routes lead to.
+
+        Args:
+            host: Host, without a port, in lower case.
+        """
+        return {
+            share.service
+            for rule in self.routes.get(host, {}).values()
+            for share in rule.shares
+        }
+
     def find_route(self, host: str, path: str) -> RouteRule | None:
         """Returns the route with the longest prefix that begins a path.
 
--- a/packages/platform/src/magnoliacrank/platform/directory_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/directory_wire.py
@@ -26,6 +26,12 @@
     return query.get("zone", [""])[0]
 
 
+def read_host(target: str) -> str:
+    """Returns the host that a caller asks for, or an empty text."""
+    query = parse.parse_qs(target.partition("?")[2])
+    return query.get("name", [""])[0].lower()
+
+
 def encode_addresses(addresses: Sequence[str], ttl_s: float) -> bytes:
     """Encodes the addresses that a caller is to use.
 
--- a/packages/policy/src/magnoliacrank/policy/placement.py
+++ b/packages/policy/src/magnoliacrank/policy/placement.py
@@ -29,7 +29,7 @@
 """Cost factor of a server in another data centre."""
 
 _REMOTE_COST_PER_MB = 8.0
-"""Further cost factor of each megabyte sent to another data centre."""
+"""Further cost factor of each megabyte between data centres."""
 
 
 class Fit(enum.IntEnum):
@@ -71,7 +71,7 @@
     crowding_factor: float,
     *,
     is_remote: bool,
-    body_bytes: int,
+    transfer_bytes: int,
 ) -> Rating:
     """Rates a server by its newest report.
 
@@ -81,13 +81,13 @@
         pace: Duration of its work against what it promises.
         crowding_factor: Duration at nearly full servers against others.
         is_remote: Whether it stands in another data centre.
-        body_bytes: Size of the request's body.
+        transfer_bytes: Size of the bodies of the request and its answer.
     """
     if not report.is_healthy:
         return Rating(Fit.UNFIT, 1.0)
     cost = report.slowdown * max(pace / _USUAL_PACE, 1.0)
     if is_remote:
-        cost *= _REMOTE_COST + _REMOTE_COST_PER_MB * body_bytes / 1e6
+        cost *= _REMOTE_COST + _REMOTE_COST_PER_MB * transfer_bytes / 1e6
     if not report.tells_load:
         return Rating(Fit.GOOD, cost * (1 + sent_since))
     busy = report.running + report.waiting + sent_since
--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -49,7 +49,7 @@
 )
 def test_server_is_rated_by_room_and_speed(report, sent, fit):
     rating = placement.rate(
-        report, sent, 1.0, 1.0, is_remote=False, body_bytes=0
+        report, sent, 1.0, 1.0, is_remote=False, transfer_bytes=0
     )
     assert rating.fit is fit
 
@@ -57,7 +57,7 @@
 def test_large_body_stays_in_its_data_centre():
     ratings = [
         placement.rate(
-            _report(), 0, 1.0, 1.0, is_remote=is_remote, body_bytes=100_000
+            _report(), 0, 1.0, 1.0, is_remote=is_remote, transfer_bytes=100_000
         )
         for is_remote in (False, True)
     ]
@@ -71,7 +71,7 @@
 def test_last_slot_is_used_where_it_adds_answers(slots, factor, fit):
     report = _report(running=slots - 1, slots=slots)
     rating = placement.rate(
-        report, 0, 1.0, factor, is_remote=False, body_bytes=0
+        report, 0, 1.0, factor, is_remote=False, transfer_bytes=0
     )
     assert rating.fit is fit
 
