--- a/packages/entry/tests/test_rollouts.py
+++ b/packages/entry/tests/test_rollouts.py
@@ -116,3 +116,31 @@
     for number in range(10):
         status, _, _ = await site.request(request_id=f"r{number}")
         assert status == 200
+
+
+def _answers(trial, *, is_new, count, failures):
+    for number in range(count):
+        trial.on_answer(
+            "read", is_new=is_new, failed=number < failures, duration_s=0.1
+        )
+
+
+async def test_instance_that_has_just_started_waits_for_all_evidence(site):
+    """Incident inc-bcc1: a good version was taken back on half of it."""
+    await site.add_backend("old1")
+    first = await site.add_instance(1)
+    await site.ready()
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    await site.until(lambda: first._trials.trial("svc") is not None)
+    trial = first._trials.trial("svc")
+    _answers(trial, is_new=False, count=500, failures=5)
+    _answers(trial, is_new=True, count=400, failures=1)
+    second = await site.add_instance(2)
+    await site.until(lambda: second._trials.trial("svc") is not None)
+    again = second._trials.trial("svc")
+    _answers(again, is_new=False, count=100, failures=1)
+    _answers(again, is_new=True, count=30, failures=6)
+    await asyncio.sleep(3.5)
+    assert "rollout judged" not in site.logs[1].names()
+    assert again.total().new.answers == 430
+    assert "rollout judged" not in site.logs[0].names()
