Let an instance that was suspended wait for evidence before it judges

Change: the wait of 2.5 s begins anew after a gap in the keeper's ticks, and holds for one that is alone. Test with a clock that jumps.

--- a/packages/entry/src/magnoliacrank/entry/trial_keeper.py
+++ b/packages/entry/src/magnoliacrank/entry/trial_keeper.py
@@ -85,6 +85,7 @@
         self._kept: dict[str, _Kept] = {}
         self._knows_states = False
         self._member_s: float | None = None
+        self._looked_s = clock()
         self._task: asyncio.Task[None] | None = None
         self._on_urgent: Callable[[], None] = lambda: None
 
@@ -227,16 +228,16 @@
             if self._kept and not await self.load_states():
                 await asyncio.sleep(_STATES_RETRY_S)
                 continue
+            has_all_evidence = self._has_all_evidence()
             for kept in list(self._kept.values()):
-                self._judge(kept)
+                if has_all_evidence:
+                    self._judge(kept)
                 await self._record(kept)
             await asyncio.sleep(_TICK_S)
 
     def _judge(self, kept: _Kept) -> None:
         if kept.wanted is not orders.RolloutState.RUNNING:
             return
-        if not self._has_all_evidence():
-            return
         phase = kept.trial.phase(self._clock())
         if phase is version_trial.TrialPhase.FAULTY:
             self._want(kept, orders.RolloutState.ROLLED_BACK)
@@ -250,13 +251,13 @@
         two members of a crew only, and goes by their finding.
         """
         now_s = self._clock()
+        was_suspended = now_s - self._looked_s > _EVIDENCE_S
+        self._looked_s = now_s
         if self._roster.is_follower(now_s):
             self._member_s = None
             return False
-        if self._member_s is None:
+        if self._member_s is None or was_suspended:
             self._member_s = now_s
-        if self._roster.is_alone(now_s):
-            return True
         return now_s - self._member_s >= _EVIDENCE_S
 
     def _want(self, kept: _Kept, state: orders.RolloutState) -> None:
--- a/packages/entry/tests/test_rollouts.py
+++ b/packages/entry/tests/test_rollouts.py
@@ -144,3 +144,23 @@
     assert "rollout judged" not in site.logs[1].names()
     assert again.total().new.answers == 430
     assert "rollout judged" not in site.logs[0].names()
+
+
+async def test_instance_that_wakes_waits_for_all_evidence(site):
+    """It was suspended for 5 s, and its neighbours have gone on."""
+    await site.add_backend("old1")
+    instance = await site.add_instance()
+    await site.ready()
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    keeper = instance._trials
+    await site.until(lambda: keeper.trial("svc") is not None)
+    await asyncio.sleep(2.7)
+    clock = keeper._clock
+    keeper._clock = lambda: clock() + 5.0
+    await asyncio.sleep(0.2)
+    trial = keeper.trial("svc")
+    _answers(trial, is_new=False, count=500, failures=5)
+    _answers(trial, is_new=True, count=30, failures=6)
+    await asyncio.sleep(1.0)
+    assert "rollout judged" not in site.logs[0].names()
+    await site.until(lambda: "rollout judged" in site.logs[0].names())
