--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -42,8 +42,8 @@
 """Places in line that are told apart."""
 
 _FOLLOWER_AGE_S = 3.0
-"""Age of its view at which a follower, which hears of changes from two members
-of a crew, asks another instance or else the store."""
+"""Age of its view at which a follower, which hears of changes from its
+neighbours in the mesh, asks another instance or else the store."""
 
 _PEERS_ASKED = 2
 """Instances that are asked for records before the store is."""
--- a/packages/entry/src/magnoliacrank/entry/trial_keeper.py
+++ b/packages/entry/src/magnoliacrank/entry/trial_keeper.py
@@ -247,8 +247,8 @@
     def _has_all_evidence(self) -> bool:
         """Whether heartbeats have told what the whole crew has seen.
 
-        A part of the evidence shows chance for a fault. A follower hears of
-        two members of a crew only, and goes by their finding.
+        On a part of the evidence, chance looks like a fault. A follower hears
+        its neighbours only, and goes by the finding of the mesh.
         """
         now_s = self._clock()
         was_suspended = now_s - self._looked_s > _EVIDENCE_S
--- a/packages/policy/src/magnoliacrank/policy/site_mesh.py
+++ b/packages/policy/src/magnoliacrank/policy/site_mesh.py
@@ -1,9 +1,9 @@
 """SiteMesh: crews, stewards and duties, derived from who is alive.
 
 The mesh is the crew of each data centre and one steward beside it. Members of
-the mesh know each other by their own heartbeats; all other instances follow
-two members of their data centre's crew, so the cost of liveness for an instance
-grows with the crews and not with the number of instances.
+the mesh know each other by their own heartbeats; all other instances, the
+followers, beat to their data centre's mesh, so that no heartbeat goes from all
+to all.
 
 Load pattern: a few large instances stand beside many small ones, and an upload
 on a small one's link delays every request behind it. Callers spread evenly
@@ -29,8 +29,8 @@
 about 200 at their usual load."""
 
 GUARDIANS = 2
-"""Members of a crew that tell a follower who is in the mesh; one loss leaves
-one."""
+"""Members of a crew that send an instance of their data centre the list of the
+others; one loss leaves one."""
 
 
 @attrs.frozen
@@ -66,7 +66,7 @@
         return sorted(found, key=_rank)
 
     def guardians(self, fact: peer_fact.PeerFact) -> list[peer_fact.PeerFact]:
-        """Returns the members of a crew that an instance follows.
+        """Returns the members of its crew that tell an instance of others.
 
         Args:
             fact: The instance.
--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -424,3 +424,16 @@
     choice.allowed("svc", [_entry("v1", 5)], None, None)
     entries = [_entry("v1", 5), _entry("v0", 1)]
     assert choice.allowed("svc", entries, None, None) == {"v1"}
+
+
+def test_follower_refuses_what_the_mesh_refuses_while_it_is_told():
+    """The request that crashes servers comes to an instance beside the mesh."""
+    member = crash_register.CrashRegister()
+    member.on_crash("f", 0.0)
+    member.merge("other", {"f": 1}, 0.1)
+    assert member.blocked(0.2) == ["f"]
+    follower = crash_register.CrashRegister()
+    follower.block(member.blocked(0.2), 0.2)
+    assert follower.is_blocked("f", 5.0)
+    assert not follower.is_blocked("f", 5.3)
+    assert follower.blocked(0.3) == []
