Let large instances read the store at once; own nothing while unsure

Change: an instance of a core or more reads the store at its start without waiting (30 more calls a start of all on the large site); cold servers get nothing from an instance that hears nobody, for 3.5 s, or that has not been told of the mesh yet.

--- a/packages/entry/src/magnoliacrank/entry/cold_gate.py
+++ b/packages/entry/src/magnoliacrank/entry/cold_gate.py
@@ -7,6 +7,8 @@
 from magnoliacrank.policy import rate_bucket
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import site_view
     from magnoliacrank.policy import crew_roster
@@ -28,13 +30,18 @@
     Args:
         view: Rates that operators state.
         roster: Which instance owns a server.
+        knows_mesh: Whether that can be told at a time.
     """
 
     def __init__(
-        self, view: site_view.SiteView, roster: crew_roster.CrewRoster
+        self,
+        view: site_view.SiteView,
+        roster: crew_roster.CrewRoster,
+        knows_mesh: Callable[[float], bool],
     ) -> None:
         self._view = view
         self._roster = roster
+        self._knows_mesh = knows_mesh
 
     def may_use(self, backend: backend_table.Backend, now_s: float) -> bool:
         """Whether a server may get a request now; warm ones always may.
@@ -62,6 +69,8 @@
         return self._bucket(backend).try_take(now_s)
 
     def _is_owner(self, backend: backend_table.Backend, now_s: float) -> bool:
+        if not self._knows_mesh(now_s):
+            return False
         entry = backend.entry
         return self._roster.is_owner(entry.server_id, entry.data_centre, now_s)
 
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -123,6 +123,7 @@
             self._view,
             self._table,
             self._roster,
+            self._protocol.knows_mesh,
             settings.data_centre,
             self.log,
             clock,
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -55,6 +55,7 @@
         view: Known servers.
         table: Links and reports.
         roster: Who owns cold servers.
+        knows_mesh: Whether that can be told at a time.
         data_centre: Data centre of this instance.
         log: Where faults are logged.
         clock: Seconds.
@@ -66,6 +67,7 @@
         view: site_view.SiteView,
         table: backend_table.BackendTable,
         roster: crew_roster.CrewRoster,
+        knows_mesh: Callable[[float], bool],
         data_centre: str,
         log: event_log.EventLog,
         clock: Callable[[], float],
@@ -74,7 +76,7 @@
         self._log = log
         self._view = view
         self._table = table
-        self._cold = cold_gate.ColdGate(view, roster)
+        self._cold = cold_gate.ColdGate(view, roster, knows_mesh)
         self._data_centre = data_centre
         self._clock = clock
         self._spread = spread
--- a/packages/policy/src/magnoliacrank/policy/mesh_protocol.py
+++ b/packages/policy/src/magnoliacrank/policy/mesh_protocol.py
@@ -63,6 +63,10 @@
 """Time for which an instance that has started only asks its seeds, and for
 which it asks its neighbours for a list; beyond it, it goes by whom it hears."""
 
+_ALONE_S = 3.5
+"""Time alone after which an instance believes that there is no other; three
+heartbeats of other data centres."""
+
 _ASK_ALL = 3
 """Heartbeats of a joining instance that go to all seeds; later ones go to
 one of them in turn."""
@@ -99,6 +103,7 @@
         self._asked_s: dict[str, float] = {}
         self._answered_s: dict[str, float] = {}
         self._read_s = float("-inf")
+        self._alone_s: float | None = started_s
 
     def is_member(self, now_s: float) -> bool:
         """Whether this instance counts itself to the mesh.
@@ -108,6 +113,23 @@
         """
         return not self._joins(now_s) and not self._roster.is_follower(now_s)
 
+    def knows_mesh(self, now_s: float) -> bool:
+        """Whether this instance can tell what it owns.
+
+        One that has just started, or was suspended, hears nobody for a moment
+        and would own everything.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        if not self._roster.is_alone(now_s):
+            self._alone_s = None
+        elif self._alone_s is None:
+            self._alone_s = now_s
+        if self._alone_s is not None:
+            return now_s - self._alone_s >= _ALONE_S
+        return self.mark(now_s) != NO_MARK
+
     def mark(self, now_s: float) -> int:
         """Returns the digest of the mesh for a heartbeat.
 
--- a/packages/policy/src/magnoliacrank/policy/record_sources.py
+++ b/packages/policy/src/magnoliacrank/policy/record_sources.py
@@ -36,15 +36,16 @@
 """The same for a follower."""
 
 _FIRST_WAIT_S = 0.6
-"""Time for which an instance that is no seed waits for the others' records
-before it reads the store itself."""
+"""Time for which an instance that is small and no seed waits for the others'
+records before it reads the store itself."""
 
 _LARGE_CAPACITY = 1.0
-"""Cores' worth of requests from which an instance counts as large."""
+"""Cores' worth of requests from which an instance reads the store at its start
+without waiting. It starts first, is in a crew, and there are few of them."""
 
-_FIRST_SPREAD_S = {True: 0.4, False: 2.5}
-"""Span over which first reads of the store spread, by whether the instance is
-large; the first one to succeed serves the others."""
+_FIRST_SPREAD_S = 2.5
+"""Span over which first reads of the store by all others spread; the first
+one to succeed serves the rest."""
 
 
 class Source(enum.Enum):
@@ -115,12 +116,11 @@
         capacity: float,
         spread: random.Random,
     ) -> None:
-        is_large = capacity >= _LARGE_CAPACITY
         self._started_s = started_s
         self._first_wait_s = 0.0
-        if not is_first:
+        if not is_first and capacity < _LARGE_CAPACITY:
             self._first_wait_s = _FIRST_WAIT_S + spread.uniform(
-                0.0, _FIRST_SPREAD_S[is_large]
+                0.0, _FIRST_SPREAD_S
             )
         self._jitter_s = spread.uniform(0.0, _JITTER_S)
         self._spread = spread
--- a/packages/policy/tests/test_crew_roster.py
+++ b/packages/policy/tests/test_crew_roster.py
@@ -181,3 +181,27 @@
 def test_data_centre_without_instances_has_an_owner_elsewhere():
     roster = _roster()
     assert roster.is_owner("s1", "nowhere", 0.5)
+
+
+@pytest.mark.parametrize("seeds", [("10.0.0.9",), ()])
+def test_one_that_hears_nobody_owns_nothing_at_first(seeds):
+    """After a start of all each would send to the same cold servers."""
+    roster = crew_roster.CrewRoster(OWN)
+    protocol = mesh_protocol.MeshProtocol(roster, seeds, 0.0)
+    assert not protocol.knows_mesh(0.1)
+    assert not protocol.knows_mesh(3.4)
+    assert protocol.knows_mesh(3.6)
+    roster.hear(_fact(1), 10.0)
+    assert protocol.knows_mesh(10.1)
+    assert not protocol.knows_mesh(20.0)
+    roster.hear(_fact(1), 20.1)
+    assert protocol.knows_mesh(20.2)
+
+
+def test_one_that_has_started_owns_nothing_before_it_is_told_of_others():
+    roster = crew_roster.CrewRoster(OWN)
+    protocol = mesh_protocol.MeshProtocol(roster, ("10.0.0.9",), 0.0)
+    protocol.on_heartbeat(_fact(1), 7, [], 0.1)
+    assert not protocol.knows_mesh(0.2)
+    protocol.on_list([_fact(1), _fact(2)], "a", 0.3)
+    assert protocol.knows_mesh(0.4)
