--- a/packages/policy/src/magnoliacrank/policy/mesh_protocol.py
+++ b/packages/policy/src/magnoliacrank/policy/mesh_protocol.py
@@ -122,10 +122,7 @@
         Args:
             now_s: Monotonic time in seconds.
         """
-        if not self._roster.is_alone(now_s):
-            self._alone_s = None
-        elif self._alone_s is None:
-            self._alone_s = now_s
+        self._note_alone(now_s)
         if self._alone_s is not None:
             return now_s - self._alone_s >= _ALONE_S
         return self.mark(now_s) != NO_MARK
@@ -162,6 +159,7 @@
             now_s: Monotonic time in seconds.
         """
         mesh = self._roster.mesh(now_s)
+        self._note_alone(now_s)
         if self._joins(now_s):
             asked = self._seeds
             if number >= _ASK_ALL:
@@ -347,6 +345,12 @@
     def _age_s(self, now_s: float) -> float:
         return now_s - self._started_s
 
+    def _note_alone(self, now_s: float) -> None:
+        if not self._roster.is_alone(now_s):
+            self._alone_s = None
+        elif self._alone_s is None:
+            self._alone_s = now_s
+
     def _note_members(self, mesh: site_mesh.SiteMesh, now_s: float) -> None:
         if mesh.members.keys() != self._known:
             self._known = set(mesh.members)
