Let callers connect while an instance starts

Change: the front and directory ports listen as soon as the settings are read; the event loop, HTTP and the instance are imported after that, and connections wait in the sockets' queues. Handling of signals moved to `instance_process`.

Ruled out: fewer imports first. aiohttp's parsers can't be imported without its client, and a request that waits 0.3 s is still in time on most routes.

--- a/packages/cli/src/magnoliacrank/cli/instance.py
+++ b/packages/cli/src/magnoliacrank/cli/instance.py
@@ -1,18 +1,26 @@
-"""The `instance` command: runs an entry instance on the users' platform."""
+"""The `instance` command: runs an entry instance on the users' platform.
+
+Load pattern: all instances restart at once while callers go on connecting.
+Callers can connect as soon as the settings are read; the parts of the instance,
+most of the time of a start, are imported after that.
+"""
 
 from __future__ import annotations
 
-import asyncio
+import importlib
 import os
-import signal
 import sys
 from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import cast
 
-from magnoliacrank.entry import entry_instance
+from magnoliacrank.gateway import listener
 from magnoliacrank.platform import settings_file
 
 if TYPE_CHECKING:
     import argparse
+    from collections.abc import Mapping
+    import socket
 
 EXIT_BIND = 1
 """Exit code when a port can't be bound."""
@@ -20,6 +28,21 @@
 EXIT_SETTINGS = 2
 """Exit code when the settings file is missing or invalid."""
 
+_PROCESS_MODULE = "magnoliacrank.cli.instance_process"
+"""Module that is imported once callers can connect."""
+
+
+class InstanceProcess(Protocol):
+    """Functions of the module that runs the instance."""
+
+    def run(
+        self,
+        settings: settings_file.InstanceSettings,
+        path: str,
+        listeners: Mapping[tuple[str, int], socket.socket],
+    ) -> None:
+        """Runs the instance until it is told to stop."""
+
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Adds the flags of `instance`."""
@@ -46,39 +69,17 @@
     except settings_file.SettingsFileError as error:
         sys.stderr.write(f"magnoliacrank instance: {error}\n")
         return EXIT_SETTINGS
-    return asyncio.run(_serve(settings, arguments.settings))
-
-
-async def _serve(settings: settings_file.InstanceSettings, path: str) -> int:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    instance = entry_instance.EntryInstance(settings)
-    loop.add_signal_handler(signal.SIGHUP, _reload, instance, settings, path)
     try:
-        await instance.start()
+        listeners = {
+            address: listener.open_listener(*address)
+            for address in (settings.front, settings.directory)
+            if address is not None
+        }
+        process = importlib.import_module(_PROCESS_MODULE)
+        cast("InstanceProcess", process).run(
+            settings, arguments.settings, listeners
+        )
     except OSError as error:
         sys.stderr.write(f"magnoliacrank instance: {error}\n")
         return EXIT_BIND
-    await stop.wait()
-    await instance.leave()
-    await instance.close()
     return 0
-
-
-def _reload(
-    instance: entry_instance.EntryInstance,
-    settings: settings_file.InstanceSettings,
-    path: str,
-) -> None:
-    """Validates the settings file again on SIGHUP and logs the result.
-
-    Changed settings take effect only at the next start.
-    """
-    try:
-        changed = settings_file.load(path)
-    except settings_file.SettingsFileError as error:
-        instance.log.warning("settings not reloaded", reason=str(error))
-        return
-    instance.log.event("settings reloaded", changed=changed != settings)
--- /dev/null
+++ b/packages/cli/src/magnoliacrank/cli/instance_process.py
@@ -0,0 +1,66 @@
+"""Runs one entry instance until a signal stops it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from magnoliacrank.entry import entry_instance
+from magnoliacrank.platform import settings_file
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    import socket
+
+
+def run(
+    settings: settings_file.InstanceSettings,
+    path: str,
+    listeners: Mapping[tuple[str, int], socket.socket],
+) -> None:
+    """Runs an instance until SIGTERM or SIGINT.
+
+    Args:
+        settings: Settings of the instance.
+        path: Path of the settings file, which is read again on SIGHUP.
+        listeners: Sockets that already listen, by address.
+
+    Raises:
+        OSError: A port can't be bound.
+    """
+    asyncio.run(_serve(settings, path, listeners))
+
+
+async def _serve(
+    settings: settings_file.InstanceSettings,
+    path: str,
+    listeners: Mapping[tuple[str, int], socket.socket],
+) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    instance = entry_instance.EntryInstance(settings, listeners=listeners)
+    loop.add_signal_handler(signal.SIGHUP, _reload, instance, settings, path)
+    await instance.start()
+    await stop.wait()
+    await instance.leave()
+    await instance.close()
+
+
+def _reload(
+    instance: entry_instance.EntryInstance,
+    settings: settings_file.InstanceSettings,
+    path: str,
+) -> None:
+    """Validates the settings file again on SIGHUP and logs the result.
+
+    Changed settings take effect only at the next start.
+    """
+    try:
+        changed = settings_file.load(path)
+    except settings_file.SettingsFileError as error:
+        instance.log.warning("settings not reloaded", reason=str(error))
+        return
+    instance.log.event("settings reloaded", changed=changed != settings)
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -35,6 +35,9 @@
 from magnoliacrank.policy import site_mesh
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+    import socket
+
     from magnoliacrank.model import orders
     from magnoliacrank.model import route_plan
     from magnoliacrank.platform import settings_file
@@ -69,17 +72,21 @@
     Args:
         settings: Settings from the file that the platform provides.
         log: Log for events; writes to standard output by default.
+        listeners: Sockets that already listen, by address. The instance binds
+            its other ports itself.
     """
 
     def __init__(
         self,
         settings: settings_file.InstanceSettings,
         log: event_log.EventLog | None = None,
+        listeners: Mapping[tuple[str, int], socket.socket] | None = None,
     ) -> None:
         clock = clocks.boot_time_s
         bounds = settings.bounds
         rng = random.Random()
         self._settings = settings
+        self._listeners = dict(listeners or {})
         self._clock = clock
         self._incarnation = time.time_ns() // 1_000_000
         self._is_leaving = False
@@ -182,7 +189,7 @@
         )
 
     async def start(self) -> None:
-        """Binds all ports, then starts the background tasks.
+        """Binds the ports that don't listen yet, then starts the tasks.
 
         These send heartbeats, read the store, announce this instance and
         evaluate rollouts.
@@ -192,9 +199,11 @@
         """
         self.log.start()
         await self._store.start()
-        for server, (host, port) in self._servers:
-            await server.start(host, port)
-        await self._front.start(*self._settings.front)
+        for server, address in (
+            *self._servers,
+            (self._front, self._settings.front),
+        ):
+            await self._listen(server, address)
         await self._link.start()
         self.log.event(
             "instance started",
@@ -204,6 +213,15 @@
         await self._announcer.start()
         await self._trials.start()
 
+    async def _listen(
+        self, server: front_server.FrontServer, address: tuple[str, int]
+    ) -> None:
+        listening = self._listeners.pop(address, None)
+        if listening is None:
+            await server.start(*address)
+        else:
+            await server.start_on(listening)
+
     async def leave(self) -> None:
         """Leaves the directory, and serves until callers have noticed."""
         self._is_leaving = True
--- a/packages/gateway/src/magnoliacrank/gateway/front_server.py
+++ b/packages/gateway/src/magnoliacrank/gateway/front_server.py
@@ -8,11 +8,13 @@
 from absl import logging
 
 from magnoliacrank.gateway import caller_connection
+from magnoliacrank.gateway import listener
 
 if TYPE_CHECKING:
+    import socket
+
     from magnoliacrank.gateway import front_limits
 
-_BACKLOG = 1024
 _CLOSE_POLL_S = 0.01
 
 
@@ -86,12 +88,19 @@
         Raises:
             OSError: The server can't listen on this address.
         """
+        await self.start_on(listener.open_listener(host, port))
+
+    async def start_on(self, listening: socket.socket) -> None:
+        """Starts to accept connections from a socket that already listens.
+
+        Args:
+            listening: The socket; the server closes it when it stops.
+        """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: caller_connection.CallerConnection(self, loop),
-            host,
-            port,
-            backlog=_BACKLOG,
+            sock=listening,
+            backlog=listener.BACKLOG,
         )
         self._port = self._server.sockets[0].getsockname()[1]
 
