Let callers that come back too late give way under overload

Change: the time since a caller's first attempt is estimated from the timeout that it states, against those stated while none was refused. The queue puts requests that can be in time first; a late one is rejected at once while servers are short. Whether a request searches, waits or is rejected is decided in `policy.wait_policy`, apart from the placer's tasks.

--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -172,6 +172,9 @@
     ) -> jobs.Job:
         headers = exchange.headers
         caller_timeout_s = request_wire.read_deadline_s(headers)
+        elapsed_s = 0.0
+        if caller_timeout_s is not None:
+            elapsed_s = self._state.elapsed_s(rule, caller_timeout_s)
         if caller_timeout_s is None or caller_timeout_s > rule.timeout_s:
             caller_timeout_s = rule.timeout_s
         digest = xxhash.xxh64(f"{exchange.method} {exchange.target}\n".encode())
@@ -185,6 +188,7 @@
             headers=tuple(_REQUEST_HEADER_FILTER.apply(headers)),
             body=body,
             arrived_s=trace.arrived_s,
+            asked_s=trace.arrived_s - elapsed_s,
             deadline_s=trace.arrived_s + caller_timeout_s,
             fingerprint=digest.hexdigest(),
             trace=trace,
@@ -278,6 +282,8 @@
         duration_s = state.clock() - trace.arrived_s
         route = "" if rule is None else rule.name
         state.metrics.on_refusal(refusal.reason)
+        if rule is not None:
+            state.on_refused(rule)
         state.metrics.on_request(route, str(refusal.status), duration_s)
         state.log.request(
             "request refused",
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -6,6 +6,7 @@
 
 from magnoliacrank.policy import crash_register
 from magnoliacrank.policy import repeat_budget
+from magnoliacrank.policy import stated_timeouts
 from magnoliacrank.policy import weighted_round_robin
 
 if TYPE_CHECKING:
@@ -70,6 +71,7 @@
         self._repeat_budgets: dict[str, repeat_budget.RepeatBudget] = {}
         self._work_s: dict[str, float] = {}
         self._answer_bytes: dict[str, float] = {}
+        self._timeouts: dict[str, stated_timeouts.StatedTimeouts] = {}
         self._cursors: dict[str, weighted_round_robin.WeightedRoundRobin] = {}
 
     def allowance(self, service: str) -> repeat_budget.RepeatBudget:
@@ -130,6 +132,21 @@
         known_s = self.work_s(rule)
         self._work_s[rule.name] = known_s + _SMOOTHING * (duration_s - known_s)
 
+    def elapsed_s(self, rule: route_plan.RouteRule, timeout_s: float) -> float:
+        """Records a timeout; returns the seconds since the caller first asked.
+
+        Args:
+            rule: Route of the request.
+            timeout_s: Seconds that the caller still waits, as it states.
+        """
+        timeouts = self._timeouts_of(rule)
+        timeouts.on_request(timeout_s, self.clock())
+        return timeouts.elapsed_s(timeout_s)
+
+    def on_refused(self, rule: route_plan.RouteRule) -> None:
+        """Records that a caller of a route was refused and may come back."""
+        self._timeouts_of(rule).on_refused(self.clock())
+
     def expected_answer_bytes(self, rule: route_plan.RouteRule) -> int:
         """Returns the expected size of a route's answers, in bytes."""
         return round(self._answer_bytes.get(rule.name, 0.0))
@@ -150,3 +167,10 @@
             )
             self._cursors[rule.name] = cursor
         return cursor.next_service()
+
+    def _timeouts_of(
+        self, rule: route_plan.RouteRule
+    ) -> stated_timeouts.StatedTimeouts:
+        return self._timeouts.setdefault(
+            rule.name, stated_timeouts.StatedTimeouts()
+        )
--- a/packages/entry/src/magnoliacrank/entry/job.py
+++ b/packages/entry/src/magnoliacrank/entry/job.py
@@ -37,6 +37,10 @@
     arrived_s: float
     """Clock time in seconds at which the request's head arrived."""
 
+    asked_s: float
+    """Clock time in seconds of the caller's first attempt, as estimated; the
+    arrival of the request unless its caller was refused before."""
+
     deadline_s: float
     """Clock time in seconds until which the caller waits for an answer."""
 
@@ -46,6 +50,11 @@
     trace: request_trace.RequestTrace
     """Spans of time that the request has spent so far."""
 
+    @property
+    def objective_s(self) -> float:
+        """Clock time in seconds up to which an answer is in time."""
+        return self.asked_s + self.rule.target_latency_s
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may be executed more than once."""
--- a/packages/entry/src/magnoliacrank/entry/placement_request.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -38,12 +38,15 @@
     priority: int
     """Priority of the request; 0 is the highest."""
 
-    arrived_s: float
-    """Clock time in seconds at which the request arrived."""
+    asked_s: float
+    """Clock time in seconds of the caller's first attempt."""
 
     wait_deadline_s: float
     """Clock time in seconds until which the request may wait for a server."""
 
+    may_wait: bool
+    """Whether the request may queue if no server is free now."""
+
     transfer_bytes: int
     """Size of its body plus the expected size of its answer."""
 
@@ -61,7 +64,10 @@
     """Clock time in seconds up to which an answer meets the latency
     objective."""
 
-    @property
-    def may_wait(self) -> bool:
-        """Whether the request may queue if no server is free now."""
-        return self.wait_deadline_s > self.arrived_s
+    def is_late(self, now_s: float) -> bool:
+        """Whether an answer can no longer meet the latency objective.
+
+        Args:
+            now_s: Clock time in seconds.
+        """
+        return now_s + self.work_s > self.objective_s
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -10,8 +10,8 @@
 from magnoliacrank.entry import placement_request as placement_requests
 from magnoliacrank.entry import wait_queue
 from magnoliacrank.policy import crowding
-from magnoliacrank.policy import drain_estimate
 from magnoliacrank.policy import placement
+from magnoliacrank.policy import wait_policy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -93,7 +93,7 @@
         self._queues: dict[str, wait_queue.WaitQueue] = {}
         self._crowding: dict[str, crowding.Crowding] = {}
         self._without_load_reports: set[str] = set()
-        self._drain_estimates: dict[str, drain_estimate.DrainEstimate] = {}
+        self._wait_policies: dict[str, wait_policy.WaitPolicy] = {}
         self._running_probes: dict[str, asyncio.Task[None]] = {}
 
     def queue(self, service: str) -> wait_queue.WaitQueue:
@@ -125,22 +125,17 @@
                 placement_requests.RejectionReason.NO_SERVER,
                 self._no_server_retry_s(),
             )
-        if not queue.length or not request.may_wait:
+        policy = self._wait_policy(request.service)
+        step = policy.first_step(request, queue.length, self._clock())
+        if step is wait_policy.Step.SEARCH:
             backend = await self._find_backend(request)
             if backend is not None:
                 return self._record_placement(request, backend)
-            if not request.may_wait:
-                return self._reject_overloaded(request.service)
-        drain = self._drain_estimate(request.service)
-        now_s = self._clock()
-        wait_s = drain.wait_s(queue.length, now_s)
-        left_s = request.wait_deadline_s - now_s
-        if wait_s > left_s or left_s <= 0:
-            return self._reject_overloaded(request.service)
-        if not await queue.acquire_turn(
-            request.priority, request.arrived_s, left_s
+            step = policy.next_step(request, queue.length, self._clock())
+        if step is wait_policy.Step.REJECT or not await queue.acquire_turn(
+            request, self._clock()
         ):
-            return self._reject_overloaded(request.service)
+            return self._reject_overloaded(request)
         try:
             return await self._wait_for_server(request, queue)
         finally:
@@ -163,7 +158,7 @@
             if backend is not None:
                 return self._record_placement(request, backend)
             if self._clock() + _POLL_S > request.wait_deadline_s:
-                return self._reject_overloaded(request.service)
+                return self._reject_overloaded(request)
             await queue.wait_until_freed(_POLL_S)
 
     def _record_placement(
@@ -173,12 +168,17 @@
     ) -> backend_table.Backend:
         now_s = self._clock()
         backend.on_dispatch(now_s)
-        self._drain_estimate(request.service).on_dispatch(now_s)
+        self._wait_policy(request.service).on_dispatch(now_s)
         return backend
 
-    def _reject_overloaded(self, service: str) -> placement_requests.Rejection:
-        retry_after_s = self._drain_estimate(service).retry_after_s(
-            self.queue(service).length, self._clock(), self._rng
+    def _reject_overloaded(
+        self, request: placement_requests.PlacementRequest
+    ) -> placement_requests.Rejection:
+        now_s = self._clock()
+        policy = self._wait_policy(request.service)
+        policy.on_rejected(request, now_s)
+        retry_after_s = policy.retry_after_s(
+            self.queue(request.service).length, now_s, self._rng
         )
         return placement_requests.Rejection(
             placement_requests.RejectionReason.OVERLOADED, retry_after_s
@@ -187,10 +187,8 @@
     def _no_server_retry_s(self) -> float:
         return _NO_SERVER_RETRY_S * self._rng.uniform(0.6, 1.4)
 
-    def _drain_estimate(self, service: str) -> drain_estimate.DrainEstimate:
-        return self._drain_estimates.setdefault(
-            service, drain_estimate.DrainEstimate()
-        )
+    def _wait_policy(self, service: str) -> wait_policy.WaitPolicy:
+        return self._wait_policies.setdefault(service, wait_policy.WaitPolicy())
 
     async def _find_backend(
         self, request: placement_requests.PlacementRequest
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -207,22 +207,21 @@
         job = self._job
         now_s = self._clock()
         work_s = self._state.work_s(job.rule)
-        wait_deadline_s = (
-            job.arrived_s + job.rule.target_latency_s - 1.2 * work_s
-        )
+        wait_deadline_s = job.objective_s - 1.2 * work_s
         wait_deadline_s = max(wait_deadline_s, now_s + _MIN_WAIT_S)
         wait_deadline_s = min(wait_deadline_s, job.deadline_s - 0.5 * work_s)
         return placement_requests.PlacementRequest(
             service=job.service,
             priority=job.rule.priority,
-            arrived_s=job.arrived_s,
-            wait_deadline_s=wait_deadline_s if may_wait else job.arrived_s,
+            asked_s=job.asked_s,
+            wait_deadline_s=wait_deadline_s,
+            may_wait=may_wait,
             transfer_bytes=len(job.body)
             + self._state.expected_answer_bytes(job.rule),
             excluded=frozenset(self._tried_server_ids),
             wants_new_version=wants_new_version,
             work_s=work_s,
-            objective_s=job.arrived_s + job.rule.target_latency_s,
+            objective_s=job.objective_s,
         )
 
     async def _dispatch_hedged(
--- a/packages/entry/src/magnoliacrank/entry/wait_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/wait_queue.py
@@ -10,6 +10,10 @@
 import asyncio
 import heapq
 import itertools
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from magnoliacrank.entry import placement_request
 
 MAX_SEARCHING = 3
 """Maximum number of requests of a service that search for a server
@@ -25,11 +29,14 @@
     """Priority queue for turns to search for a free backend server.
 
     At most `MAX_SEARCHING` requests hold a turn. The others wait in order of
-    their arrival time plus a delay for lower priorities.
+    their caller's first attempt plus a delay for lower priorities; those that
+    can no longer be in time come after all that can.
     """
 
     def __init__(self) -> None:
-        self._waiting: list[tuple[float, int, asyncio.Future[None]]] = []
+        self._waiting: list[
+            tuple[tuple[bool, float], int, asyncio.Future[None]]
+        ] = []
         self._sequence = itertools.count()
         self._searching = 0
         self._slot_freed = asyncio.Event()
@@ -42,27 +49,29 @@
         )
 
     async def acquire_turn(
-        self, priority: int, arrived_s: float, timeout_s: float
+        self, request: placement_request.PlacementRequest, now_s: float
     ) -> bool:
         """Waits for a turn to search for a server.
 
         Args:
-            priority: Priority of the request; 0 is the highest.
-            arrived_s: Monotonic time in seconds at which the request arrived.
-            timeout_s: Longest time to wait, in seconds.
+            request: The request.
+            now_s: Current monotonic time in seconds.
 
         Returns:
-            Whether the request got a turn before the timeout. If so, the
+            Whether the request got a turn before its wait deadline. If so, the
             caller has to call `release_turn`.
         """
         if self._searching < MAX_SEARCHING:
             self._searching += 1
             return True
         future: asyncio.Future[None] = asyncio.Future()
-        key = arrived_s + priority * PRIORITY_STEP_S
+        key = (
+            request.is_late(now_s),
+            request.asked_s + request.priority * PRIORITY_STEP_S,
+        )
         heapq.heappush(self._waiting, (key, next(self._sequence), future))
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(request.wait_deadline_s - now_s):
                 await future
         except TimeoutError:
             return False
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -396,6 +396,7 @@
         headers=(("Host", HOST), ("Request-Id", "left")),
         body=b"",
         arrived_s=instance._clock(),
+        asked_s=instance._clock(),
         deadline_s=instance._clock() + 1.0,
         fingerprint="f",
         trace=request_trace.RequestTrace(instance._clock(), instance._clock),
