Keep probes and large answers in their data centre

Change: a round of probes no longer mixes local and remote servers, and a request with a large answer uses its own data centre's servers while it has two execution times left to its objective, if any of them responds.

Ruled out: fewer heartbeats (a tenth of the bytes), a threshold in bytes of its own (the cost of distance says the same).

--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -204,12 +204,10 @@
         candidates = self._candidates(request)
         if request.service in self._without_load_reports:
             return self._find_by_in_flight(candidates)
-        for start in range(
-            0, _PROBES_PER_ROUND * _MAX_PROBE_ROUNDS, _PROBES_PER_ROUND
-        ):
-            probed = candidates[start : start + _PROBES_PER_ROUND]
-            if not probed:
-                break
+        rounds = placement.probe_rounds(
+            candidates, self._is_remote, _PROBES_PER_ROUND, _MAX_PROBE_ROUNDS
+        )
+        for probed in rounds:
             good = await self._probe_round(request, probed, health_path)
             if good is not None and self._try_confirm(good):
                 return good
@@ -377,7 +375,7 @@
             backend.sent_since_report,
             backend.health.duration_ratio,
             self.crowding_of(request.service).factor,
-            is_remote=backend.entry.data_centre != self._data_centre,
+            is_remote=self._is_remote(backend),
             transfer_bytes=request.transfer_bytes,
         )
 
@@ -406,6 +404,8 @@
             for backend in backends
             if self._cold_gate.may_use(backend, now_s)
         ]
+        if placement.should_stay_local(request, now_s):
+            usable = self._responsive_local(usable, now_s) or usable
         keyed = [
             (self._preference_key(backend, now_s), self._rng.random(), backend)
             for backend in usable
@@ -413,6 +413,17 @@
         keyed.sort(key=lambda item: item[:2])
         return [backend for _, _, backend in keyed]
 
+    def _responsive_local(
+        self, backends: list[backend_table.Backend], now_s: float
+    ) -> list[backend_table.Backend]:
+        return [
+            backend
+            for backend in backends
+            if not self._is_remote(backend)
+            and not backend.health.is_unresponsive(now_s)
+            and not backend.health.is_blocked(now_s)
+        ]
+
     def _preference_key(
         self, backend: backend_table.Backend, now_s: float
     ) -> tuple[bool, bool, bool, bool]:
@@ -422,10 +433,13 @@
         return (
             health.is_unresponsive(now_s),
             health.is_blocked(now_s),
-            entry.data_centre != self._data_centre,
+            self._is_remote(backend),
             backend.in_flight >= entry.slots,
         )
 
+    def _is_remote(self, backend: backend_table.Backend) -> bool:
+        return backend.entry.data_centre != self._data_centre
+
     def _try_confirm(self, backend: backend_table.Backend) -> bool:
         """Confirms a server for a request, and takes a token if it is cold.
 
--- a/packages/policy/src/magnoliacrank/policy/placement.py
+++ b/packages/policy/src/magnoliacrank/policy/placement.py
@@ -8,15 +8,25 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import TypeVar
 
 import attrs
 
 from magnoliacrank.policy import crowding
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+
     from magnoliacrank.model import backend_entry
 
+_ServerT = TypeVar("_ServerT")
+
 GOOD_SLOWDOWN = 1.5
 """Slowdown up to which a free server is used without asking others."""
 
@@ -33,6 +43,66 @@
 _REMOTE_COST_PER_MB = 8.0
 """Addition to `_REMOTE_COST` for each megabyte sent between data centres."""
 
+_LOCAL_WAIT_MARGIN = 2.0
+"""Execution times that are kept before the latency objective while a request
+waits for a server of its own data centre."""
+
+
+def probe_rounds(
+    candidates: Sequence[_ServerT],
+    is_remote: Callable[[_ServerT], bool],
+    per_round: int,
+    max_rounds: int,
+) -> Iterator[list[_ServerT]]:
+    """Yields the servers to probe concurrently, round by round.
+
+    Local and remote servers aren't probed in the same round: mostly a local
+    one is good, and probes between data centres are then spared.
+
+    Args:
+        candidates: Servers in the order of preference.
+        is_remote: Returns whether a server is in another data centre.
+        per_round: Largest number of servers in a round.
+        max_rounds: Largest number of rounds.
+    """
+    batches = (
+        batch
+        for _, group in itertools.groupby(candidates, is_remote)
+        for batch in _batched(group, per_round)
+    )
+    return itertools.islice(batches, max_rounds)
+
+
+class Transfer(Protocol):
+    """What a request needs in time and bytes."""
+
+    @property
+    def transfer_bytes(self) -> int:
+        """Size of its body plus the expected size of its answer."""
+
+    @property
+    def work_s(self) -> float:
+        """Expected execution time at a server's usual speed, in seconds."""
+
+    @property
+    def objective_s(self) -> float:
+        """Monotonic time in seconds up to which an answer is in time."""
+
+
+def should_stay_local(request: Transfer, now_s: float) -> bool:
+    """Returns whether a request should only use servers of its data centre.
+
+    This is so for a large transfer while there is time to wait for one of
+    them: their slowdowns are short, and the bytes are sent only once.
+
+    Args:
+        request: The request.
+        now_s: Current monotonic time in seconds.
+    """
+    if _distance_cost(request.transfer_bytes) <= GOOD_SLOWDOWN:
+        return False
+    return now_s + _LOCAL_WAIT_MARGIN * request.work_s < request.objective_s
+
 
 class Fit(enum.IntEnum):
     """How well a server suits a request, the best first."""
@@ -96,7 +166,7 @@
         duration_ratio / _MAX_USUAL_DURATION_RATIO, 1.0
     )
     if is_remote:
-        cost *= _REMOTE_COST + _REMOTE_COST_PER_MB * transfer_bytes / 1e6
+        cost *= _distance_cost(transfer_bytes)
     if not report.tells_load:
         return Rating(Fit.GOOD, cost * (1 + sent_since))
     busy = report.running + report.waiting + sent_since
@@ -109,3 +179,13 @@
     if cost <= GOOD_SLOWDOWN:
         return Rating(Fit.GOOD, cost)
     return Rating(Fit.SLOW, cost)
+
+
+def _distance_cost(transfer_bytes: int) -> float:
+    """Returns the cost factor of a server in another data centre."""
+    return _REMOTE_COST + _REMOTE_COST_PER_MB * transfer_bytes / 1e6
+
+
+def _batched(items: Iterable[_ServerT], size: int) -> Iterator[list[_ServerT]]:
+    rest = iter(items)
+    return iter(lambda: list(itertools.islice(rest, size)), [])
