Learn a server's load from each answer

Cause: at the worst load all servers are full, and an instance may send 8 health requests a second to each. A slot that became free was noticed at the next of these, 20 ms later in the mean, or by another instance; one dispatch in ten went by a report older than 95 ms.

Change: an answer's load header updates the server's report, without the request that it answers, which servers still count.

Ruled out: more health requests (the operators bound them).

--- a/packages/entry/src/magnoliacrank/entry/backend_table.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_table.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from magnoliacrank.entry import event_log
     from magnoliacrank.gateway import answer_memory
@@ -27,6 +28,10 @@
 """Burst of health requests, in seconds of their rate. A burst is allowed
 because the operators' bound applies to the average over a day."""
 
+_ANSWER_DELAY_S = 0.003
+"""Time before the arrival of an answer from which on the load that it states
+doesn't count requests that were sent meanwhile."""
+
 _MAX_DISPATCH_TIMES = 32
 """Maximum number of dispatch times that are kept for one server."""
 
@@ -84,6 +89,74 @@
         self.dispatch_times_s.append(now_s)
         del self.dispatch_times_s[:-_MAX_DISPATCH_TIMES]
 
+    def on_answer(
+        self, headers: Mapping[str, str], *, was_run: bool, now_s: float
+    ) -> None:
+        """Updates the load report by the load that an answer states.
+
+        Load pattern: all servers are full, and health requests are too few to
+        notice each slot that becomes free. The answer that frees it does.
+
+        Args:
+            headers: Headers of an answer to a request; lookups ignore case.
+            was_run: Whether the server ran the request.
+            now_s: Clock time in seconds.
+        """
+        report = self.report
+        stated_s = now_s - _ANSWER_DELAY_S
+        if report is None or stated_s < self.report_requested_s:
+            return
+        running, waiting, slots, slowdown = backend_wire.decode_answer_load(
+            headers, was_run=was_run
+        )
+        if not slots:
+            return
+        self._record_report(
+            attrs.evolve(
+                report,
+                running=max(running, self.in_flight - 1),
+                waiting=waiting,
+                slots=slots,
+                slowdown=slowdown,
+            ),
+            stated_s,
+            now_s,
+        )
+
+    def on_health_report(
+        self,
+        report: backend_entry.HealthReport,
+        requested_s: float,
+        now_s: float,
+    ) -> None:
+        """Records a report of the health path, unless a newer one is known.
+
+        Args:
+            report: The report.
+            requested_s: Clock time in seconds at which it was requested.
+            now_s: Clock time in seconds.
+        """
+        if requested_s < self.report_requested_s:
+            return
+        self._record_report(report, requested_s, now_s)
+        if report.cold_s > 0:
+            self.cold_until_s = now_s + report.cold_s
+        elif report.is_healthy:
+            self.cold_until_s = min(self.cold_until_s, now_s)
+
+    def _record_report(
+        self,
+        report: backend_entry.HealthReport,
+        requested_s: float,
+        now_s: float,
+    ) -> None:
+        self.report = report
+        self.report_requested_s = requested_s
+        self.report_received_s = now_s
+        self.dispatch_times_s = [
+            at_s for at_s in self.dispatch_times_s if at_s >= requested_s
+        ]
+
     def is_cold(self, now_s: float) -> bool:
         """Whether the server is warming up and limited to a low rate."""
         return now_s < self.cold_until_s
@@ -187,17 +260,7 @@
             backend.health.on_unanswered_check(now_s)
             return None
         backend.health.on_answered_check()
-        if requested_s >= backend.report_requested_s:
-            backend.report = report
-            backend.report_requested_s = requested_s
-            backend.report_received_s = now_s
-            backend.dispatch_times_s = [
-                at for at in backend.dispatch_times_s if at >= requested_s
-            ]
-            if report.cold_s > 0:
-                backend.cold_until_s = now_s + report.cold_s
-            elif report.is_healthy:
-                backend.cold_until_s = min(backend.cold_until_s, now_s)
+        backend.on_health_report(report, requested_s, now_s)
         return report
 
     def _update_entry(
--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -86,6 +86,12 @@
             raise
         dispatch = dispatches.classify(outcome)
         job.trace.end(span, dispatch.reason)
+        if isinstance(outcome, backend_link.WholeAnswer):
+            backend.on_answer(
+                outcome.headers,
+                was_run=dispatch.verdict is not Verdict.NOT_RUN,
+                now_s=self._clock(),
+            )
         duration_s = self._clock() - sent_s
         self._record_result(backend, dispatch, duration_s, choice, outcome)
         if trial is not None and dispatch.verdict is not Verdict.NOT_RUN:
--- a/packages/platform/src/magnoliacrank/platform/backend_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/backend_wire.py
@@ -86,6 +86,26 @@
     )
 
 
+def decode_answer_load(
+    headers: Mapping[str, str], *, was_run: bool
+) -> tuple[int, int, int, float]:
+    """Decodes the load that the answer to a request states.
+
+    A server still counts the request that it answers as running.
+
+    Args:
+        headers: Headers of the answer; lookups ignore case.
+        was_run: Whether the server ran the request.
+
+    Returns:
+        The same as `decode_load`, without the answered request.
+    """
+    running, waiting, slots, slowdown = decode_load(
+        headers.get(request_wire.SERVER_LOAD, "")
+    )
+    return max(running - was_run, 0), waiting, slots, slowdown
+
+
 def decode_load(text: str) -> tuple[int, int, int, float]:
     """Decodes the value of the `Server-Load` header.
 
