--- a/packages/entry/src/magnoliacrank/entry/rollout_controller.py
+++ b/packages/entry/src/magnoliacrank/entry/rollout_controller.py
@@ -14,6 +14,7 @@
 from magnoliacrank.platform import operator_wire
 from magnoliacrank.platform import store_client
 from magnoliacrank.platform import wire_values
+from magnoliacrank.policy import backoff
 from magnoliacrank.policy import version_trial
 
 if TYPE_CHECKING:
@@ -35,9 +36,11 @@
 _CALL_TIMEOUT_S = 1.0
 """Timeout of one call to the store."""
 
-_STATES_RETRY_S = 0.5
-"""Delay between attempts to read the recorded states. No rollout is evaluated
-before they are read, since an earlier process may have recorded an outcome."""
+_INITIAL_BACKOFF_S = 0.25
+"""Delay after a failed call to the store; doubles up to `_MAX_BACKOFF_S`."""
+
+_MAX_BACKOFF_S = 2.0
+"""Longest delay between failed calls to the store."""
 
 _EVIDENCE_DELAY_S = 2.5
 """Time as a member of the mesh after which the evidence of all members has
@@ -102,6 +105,7 @@
         self._clock = clock
         self._rollouts: dict[str, _Rollout] = {}
         self._has_loaded_states = False
+        self._backoff = backoff.Backoff(_INITIAL_BACKOFF_S, _MAX_BACKOFF_S)
         self._member_since_s: float | None = None
         self._last_check_s = clock()
         self._task: asyncio.Task[None] | None = None
@@ -131,9 +135,12 @@
         """
         if self._has_loaded_states:
             return True
+        if not self._backoff.may_call(self._clock()):
+            return False
         newest = await self._store.newest(
             store_client.STATUS_TOPIC, _CALL_TIMEOUT_S
         )
+        self._set_backoff(newest)
         if isinstance(newest, store_client.StoreFailure):
             return False
         self._apply_statuses(self._decode_states(newest))
@@ -265,7 +272,8 @@
     async def _run(self) -> None:
         while True:
             if self._rollouts and not await self.load_states():
-                await asyncio.sleep(_STATES_RETRY_S)
+                # An earlier process may have recorded an outcome.
+                await asyncio.sleep(_TICK_S)
                 continue
             has_all_evidence = self._has_all_evidence()
             for rollout in list(self._rollouts.values()):
@@ -344,6 +352,8 @@
         place = self._roster.duty_order(now_s)
         if now_s < rollout.decided_s + _TAKEOVER_STEP_S * place:
             return
+        if not self._backoff.may_call(now_s):
+            return
         if rollout.decision is orders.RolloutState.RUNNING and place:
             # Only the first in the duty order records the start.
             return
@@ -382,6 +392,7 @@
         newest = await self._store.newest(
             store_client.STATUS_TOPIC, _CALL_TIMEOUT_S
         )
+        self._set_backoff(newest)
         if isinstance(newest, store_client.StoreFailure):
             self._log_failure(status, newest)
             return None
@@ -402,11 +413,17 @@
             _CALL_TIMEOUT_S,
             newest.end,
         )
+        self._set_backoff(result)
         if isinstance(result, store_client.StoreFailure):
             self._log_failure(status, result)
             return None
         return status
 
+    def _set_backoff(self, result: object) -> None:
+        """Delays further calls to the store if one has failed."""
+        failed = isinstance(result, store_client.StoreFailure)
+        self._backoff.on_result(failed=failed, now_s=self._clock())
+
     def _adopt(self, rollout: _Rollout, status: orders.RolloutStatus) -> None:
         """Adopts a final state that was recorded for a rollout's order."""
         if (
--- a/packages/entry/tests/test_rollouts.py
+++ b/packages/entry/tests/test_rollouts.py
@@ -5,6 +5,7 @@
 
 from magnoliacrank.platform import store_client
 from magnoliacrank.standins import platform_backend
+from magnoliacrank.standins import platform_store
 
 Fault = platform_backend.BackendFault
 
@@ -165,3 +166,31 @@
     await asyncio.sleep(1.0)
     assert "rollout judged" not in site.logs[0].names()
     await site.until(lambda: "rollout judged" in site.logs[0].names())
+
+
+async def test_undecided_record_calls_a_busy_store_ever_less_often(site):
+    """All instances have the same state to record, and the store refuses."""
+    await site.add_backend("old1")
+    instance = await site.add_instance()
+    await site.ready()
+    new = await site.add_backend("new1", version="v2")
+    new.fault = Fault.FAIL
+    order = {"service": "svc", "target-version": "v2", "duration": "12s"}
+    site.store.put("keyed.op", "rollout/svc", json.dumps(order).encode())
+    await site.until(lambda: instance._trials.trial("svc") is not None)
+    trial = instance._trials.trial("svc")
+    site.store.fault = platform_store.Fault.BUSY
+    trial.mark_faulty()
+    await asyncio.sleep(0.5)
+    calls = instance._store.calls
+    await asyncio.sleep(2.0)
+    # The reader of the site doubles its delay from 0.5 s to 2 s, with two calls
+    # each time, and the record doubles it from 0.25 s to 2 s.
+    assert instance._store.calls - calls <= 10
+    site.store.fault = platform_store.Fault.NONE
+
+    def state():
+        value = site.store.newest("keyed.status").get("rollout/svc")
+        return value and json.loads(value)["state"]
+
+    await site.until(lambda: state() == "rolled_back")
