--- a/packages/entry/tests/test_worst_load.py
+++ b/packages/entry/tests/test_worst_load.py
@@ -14,6 +14,7 @@
 from magnoliacrank.entry import placement_request
 from magnoliacrank.entry import placer
 from magnoliacrank.model import backend_entry
+from magnoliacrank.platform import request_wire
 from magnoliacrank.policy import backend_health
 from magnoliacrank.policy import token_bucket
 from magnoliacrank.standins import virtual_time
@@ -198,7 +199,7 @@
         server.running += 1
         # A server that is over its slots serves all of them more slowly.
         await asyncio.sleep(work_s * max(server.running / SLOTS, 1.0))
-        headers = {"Server-Load": server.load()}
+        headers = {request_wire.SERVER_LOAD: server.load()}
         server.running -= 1
         await asyncio.sleep(NETWORK_S)
         found.on_answer(headers, was_run=True, now_s=self._clock())
