Mark servers as short only by requests that would have waited

Cause, found in reading the change: a trial of a new version or a hedge that finds no server marked the service as short for 0.3 s, so callers that came back late were rejected though servers of the old version had room. An answer with status 421, from a server that has taken over the address, updated the load of the server that was meant.

Change: both are left out. The method that records a stated timeout is named so. Tests of the wait policy, the stated timeouts, rounds of probes and large transfers.

--- a/packages/entry/src/magnoliacrank/entry/backend_table.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_table.py
@@ -111,10 +111,11 @@
         )
         if not slots:
             return
+        own_running = self.in_flight - 1
         self._record_report(
             attrs.evolve(
                 report,
-                running=max(running, self.in_flight - 1),
+                running=max(running, own_running),
                 waiting=waiting,
                 slots=slots,
                 slowdown=slowdown,
--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -86,7 +86,10 @@
             raise
         dispatch = dispatches.classify(outcome)
         job.trace.end(span, dispatch.reason)
-        if isinstance(outcome, backend_link.WholeAnswer):
+        if (
+            isinstance(outcome, backend_link.WholeAnswer)
+            and outcome.status != request_wire.MISDIRECTED
+        ):
             backend.on_answer(
                 outcome.headers,
                 was_run=dispatch.verdict is not Verdict.NOT_RUN,
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -174,7 +174,7 @@
         caller_timeout_s = request_wire.read_deadline_s(headers)
         elapsed_s = 0.0
         if caller_timeout_s is not None:
-            elapsed_s = self._state.elapsed_s(rule, caller_timeout_s)
+            elapsed_s = self._state.record_timeout(rule, caller_timeout_s)
         if caller_timeout_s is None or caller_timeout_s > rule.timeout_s:
             caller_timeout_s = rule.timeout_s
         digest = xxhash.xxh64(f"{exchange.method} {exchange.target}\n".encode())
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -132,7 +132,9 @@
         known_s = self.work_s(rule)
         self._work_s[rule.name] = known_s + _SMOOTHING * (duration_s - known_s)
 
-    def elapsed_s(self, rule: route_plan.RouteRule, timeout_s: float) -> float:
+    def record_timeout(
+        self, rule: route_plan.RouteRule, timeout_s: float
+    ) -> float:
         """Records a timeout; returns the seconds since the caller first asked.
 
         Args:
--- a/packages/policy/src/magnoliacrank/policy/wait_policy.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_policy.py
@@ -98,10 +98,10 @@
     def on_rejected(self, demand: Demand, now_s: float) -> None:
         """Records a rejection for lack of servers.
 
-        Only that of a request which could have been in time shows that servers
-        are short.
+        Servers are short if the request could have been in time and would have
+        waited; hedges and trials of a new version don't wait.
         """
-        if not demand.is_late(now_s):
+        if demand.may_wait and not demand.is_late(now_s):
             self._short_until_s = now_s + _SHORTAGE_S
 
     def retry_after_s(
--- /dev/null
+++ b/packages/policy/tests/test_wait_policy.py
@@ -0,0 +1,135 @@
+"""Tests of what waits and what is rejected while servers are short."""
+
+import random
+
+import attrs
+import pytest
+
+from magnoliacrank.policy import placement
+from magnoliacrank.policy import stated_timeouts
+from magnoliacrank.policy import wait_policy
+
+Step = wait_policy.Step
+
+
+@attrs.frozen
+class Demand:
+    """A request of 0.2 s of work and an objective of 0.6 s."""
+
+    asked_s: float = 0.0
+    may_wait: bool = True
+    work_s: float = 0.2
+    transfer_bytes: int = 0
+
+    @property
+    def objective_s(self):
+        return self.asked_s + 0.6
+
+    @property
+    def wait_deadline_s(self):
+        return self.objective_s - self.work_s
+
+    def is_late(self, now_s):
+        return now_s + self.work_s > self.objective_s
+
+
+def _busy_policy():
+    """Returns a policy whose service dispatches 50 requests a second."""
+    policy = wait_policy.WaitPolicy()
+    for number in range(50):
+        policy.on_dispatch(10.0 + number / 50)
+    return policy
+
+
+def test_late_caller_is_rejected_while_servers_are_short():
+    policy = _busy_policy()
+    late, in_time = Demand(asked_s=10.3), Demand(asked_s=11.0)
+    assert policy.first_step(late, 0, 11.0) is Step.SEARCH
+    policy.on_rejected(in_time, 11.0)
+    assert policy.first_step(late, 0, 11.1) is Step.REJECT
+    assert policy.first_step(in_time, 0, 11.1) is Step.SEARCH
+    assert policy.first_step(late, 0, 11.5) is Step.SEARCH
+
+
+def test_late_caller_is_rejected_while_others_queue():
+    policy = _busy_policy()
+    assert policy.first_step(Demand(asked_s=10.3), 5, 11.0) is Step.REJECT
+    assert policy.first_step(Demand(asked_s=11.0), 5, 11.0) is Step.WAIT
+
+
+@pytest.mark.parametrize(
+    "demand",
+    [
+        pytest.param(Demand(asked_s=10.0), id="late"),
+        pytest.param(Demand(asked_s=11.0, may_wait=False), id="hedge"),
+    ],
+)
+def test_rejection_of_others_does_not_make_servers_short(demand):
+    policy = _busy_policy()
+    policy.on_rejected(demand, 11.0)
+    assert policy.first_step(Demand(asked_s=10.3), 0, 11.1) is Step.SEARCH
+
+
+def test_request_is_rejected_on_arrival_if_the_queue_is_too_long():
+    policy = _busy_policy()
+    assert policy.first_step(Demand(asked_s=11.0), 15, 11.0) is Step.WAIT
+    assert policy.first_step(Demand(asked_s=11.0), 30, 11.0) is Step.REJECT
+
+
+def test_hedge_never_waits():
+    policy = _busy_policy()
+    hedge = Demand(asked_s=11.0, may_wait=False)
+    assert policy.first_step(hedge, 2, 11.0) is Step.SEARCH
+    assert policy.next_step(hedge, 2, 11.0) is Step.REJECT
+
+
+def _learned(timeouts_s):
+    timeouts = stated_timeouts.StatedTimeouts()
+    for number, timeout_s in enumerate(timeouts_s):
+        timeouts.on_request(timeout_s, number / 10)
+    return timeouts
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_returning_caller_is_told_from_patience_that_varies(seed):
+    rng = random.Random(seed)
+    timeouts = _learned(rng.uniform(1.275, 1.5) for _ in range(100))
+    assert timeouts.elapsed_s(1.4) == 0.0
+    assert timeouts.elapsed_s(0.9) == pytest.approx(0.49, abs=0.06)
+
+
+def test_impatient_callers_are_not_taken_for_returning_ones():
+    timeouts = _learned(0.8 if number % 8 == 0 else 1.5 for number in range(80))
+    assert timeouts.elapsed_s(0.8) == 0.0
+
+
+def test_nothing_is_learned_while_callers_are_refused():
+    timeouts = _learned([1.5] * 30)
+    for number in range(100):
+        now_s = 4.0 + number / 10
+        timeouts.on_refused(now_s)
+        timeouts.on_request(0.9, now_s)
+    assert timeouts.elapsed_s(0.9) == pytest.approx(0.6)
+
+
+def test_few_requests_tell_nothing():
+    assert _learned([1.5] * 5).elapsed_s(0.5) == 0.0
+
+
+def test_probe_rounds_do_not_mix_data_centres():
+    candidates = ["a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4"]
+    rounds = placement.probe_rounds(
+        candidates, lambda name: name.startswith("b"), 3, 3
+    )
+    assert list(rounds) == [["a1", "a2", "a3"], ["a4"], ["b1", "b2", "b3"]]
+
+
+@pytest.mark.parametrize(
+    ("transfer_bytes", "now_s", "expected"),
+    [(100_000, 0.0, True), (100_000, 0.25, False), (2_000, 0.0, False)],
+)
+def test_large_transfer_stays_local_while_there_is_time(
+    transfer_bytes, now_s, expected
+):
+    request = Demand(transfer_bytes=transfer_bytes)
+    assert placement.should_stay_local(request, now_s) is expected
