Refuse every value from outside that is out of bounds with one error

Cause, first half: an exception of another kind than the decoder's own left the loop that applies the store's records. A port of a superscript digit or of 5,000 digits raised a plain ValueError past the check.

Ruled out: what the store and the neighbours deliver; memory of earlier reads (a process that starts has none).

Same class, found by a table of odd values against every decoder: Server-Load, Keep-Alive, Request-Deadline, answers of the store, the settings file, announcements, heartbeats, records between instances, log records, messages and budgets of serve. An unreadable load also switched its whole service to placement without loads.

Now platform/wire_values returns a value within stated bounds or raises WireValueError, also for nesting.

--- a/packages/entry/src/magnoliacrank/entry/announcer.py
+++ b/packages/entry/src/magnoliacrank/entry/announcer.py
@@ -9,6 +9,7 @@
 
 from magnoliacrank.entry import owned_task
 from magnoliacrank.platform import store_client
+from magnoliacrank.platform import wire_values
 from magnoliacrank.policy import announce_schedule
 
 if TYPE_CHECKING:
@@ -119,7 +120,8 @@
                 announcement = msgspec.json.decode(
                     record.value, type=_Announcement
                 )
-            except msgspec.DecodeError as error:
+                wire_values.check_ip_address(announcement.ip, "ip")
+            except wire_values.MALFORMED_ERRORS as error:
                 self._log.warning(
                     "announcement unreadable",
                     key=record.key,
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import math
+from typing import Annotated
+from typing import Literal
+
 import msgspec
 
+from magnoliacrank.platform import wire_values
 from magnoliacrank.policy import peer_status
 
 FORMAT = 3
@@ -12,11 +17,21 @@
 SenderRow = tuple[str, str, str, int, bool, bool, bool, float]
 """Fields of `peer_status.PeerStatus`, in the order of their definition."""
 
-EvidenceRow = tuple[str, int, int, float, int, int, float]
+Count = Annotated[int, msgspec.Meta(ge=0, le=wire_values.MAX_INTEGER)]
+"""Number of events since a start, or an offset of the store."""
+
+Age = Annotated[int, msgspec.Meta(ge=-1, le=wire_values.MAX_INTEGER)]
+"""Age in milliseconds; -1 for never."""
+
+EvidenceRow = tuple[str, Count, Count, float, Count, Count, float]
 """Route name, then answers, failures and the sum of the durations of successes
 in seconds, first of the old version, then of the new one."""
 
 
+RolloutStateName = Literal["running", "completed", "rolled_back"]
+"""Value of `orders.RolloutState`."""
+
+
 class TrialReport(msgspec.Struct, array_like=True):
     """State and evidence of one rollout, as the sender of a heartbeat sees it.
 
@@ -27,14 +42,14 @@
     service: str
     """Name of the service."""
 
-    order_offset: int
+    order_offset: Count
     """Offset of the record with the operators' order; identifies the order."""
 
-    age_ms: int
+    age_ms: Age
     """Milliseconds since the earliest start of the rollout that the sender
     knows of."""
 
-    state: str
+    state: RolloutStateName
     """Value of `orders.RolloutState`."""
 
     target_version: str
@@ -66,20 +81,20 @@
     """Names of instances in the sender's data centre whose heartbeats have
     recently stopped."""
 
-    operators_mark: int
+    operators_mark: Count
     """Offset after the sender's newest change in the operators' topic."""
 
-    servers_mark: int
+    servers_mark: Count
     """Offset after the sender's newest change in the servers' topic."""
 
-    verified_age_ms: int
+    verified_age_ms: Age
     """Milliseconds since the sender's records were last verified to be
     complete; -1 for never."""
 
     trials: list[TrialReport]
     """Rollouts in progress, and those whose deadline has passed recently."""
 
-    crashes: dict[str, int]
+    crashes: dict[str, Count]
     """Number of server crashes that the sender attributes to a request, by
     the fingerprint of the request."""
 
@@ -134,6 +149,25 @@
     """
     try:
         message = _DECODER.decode(data)
-    except msgspec.DecodeError:
+    except wire_values.MALFORMED_ERRORS:
         return None
-    return message if message.format == FORMAT else None
+    if message.format != FORMAT or not _is_plausible(message):
+        return None
+    return message
+
+
+def _is_plausible(message: Message) -> bool:
+    """Whether the addresses and floating-point values can be used."""
+    if isinstance(message, InstanceList):
+        return all(_is_plausible_sender(row) for row in message.rows)
+    return _is_plausible_sender(message.sender) and all(
+        0 <= duration_s < math.inf
+        for report in message.trials
+        for row in report.rows
+        for duration_s in (row[3], row[6])
+    )
+
+
+def _is_plausible_sender(row: SenderRow) -> bool:
+    fact = peer_status.PeerStatus(*row)
+    return wire_values.is_ip_address(fact.ip) and 0 <= fact.capacity < math.inf
--- a/packages/entry/src/magnoliacrank/entry/peer_records.py
+++ b/packages/entry/src/magnoliacrank/entry/peer_records.py
@@ -6,16 +6,18 @@
 
 import msgspec
 
+from magnoliacrank.entry import heartbeat
 from magnoliacrank.platform import store_records
+from magnoliacrank.platform import wire_values
 
 PATH = "/records"
 """Path of record requests on the port between instances."""
 
-RecordRow = tuple[str, bytes | None, int]
+RecordRow = tuple[str, bytes | None, heartbeat.Count]
 """Key, value and offset of a record; the value of a deleted key is None."""
 
 
-StateRow = tuple[str, str, str]
+StateRow = tuple[str, str, heartbeat.RolloutStateName]
 """Service, target version and state of a rollout."""
 
 _COMPRESSION_LEVEL = 1
@@ -42,13 +44,13 @@
     """Encoded and compressed `Changes`; a separate field so that the sender
     can cache it for equal requests."""
 
-    operators_mark: int
+    operators_mark: heartbeat.Count
     """Offset after the sender's newest change in the operators' topic."""
 
-    servers_mark: int
+    servers_mark: heartbeat.Count
     """Offset after the sender's newest change in the servers' topic."""
 
-    verified_age_ms: int
+    verified_age_ms: heartbeat.Age
     """Milliseconds since the sender's records were last verified to be
     complete; -1 for never."""
 
@@ -67,7 +69,7 @@
     """Decodes an answer; returns None if it is malformed."""
     try:
         return _DECODER.decode(data)
-    except msgspec.DecodeError:
+    except wire_values.MALFORMED_ERRORS:
         return None
 
 
@@ -82,7 +84,7 @@
     try:
         data = decompressor.decompress(content, _MAX_CONTENT_BYTES)
         return _CHANGES_DECODER.decode(data)
-    except (zlib.error, msgspec.DecodeError):
+    except (zlib.error, *wire_values.MALFORMED_ERRORS):
         return None
 
 
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -325,7 +325,7 @@
             del self._running_probes[backend.entry.server_id]
         if report is None or not report.is_healthy:
             return
-        if not report.tells_load:
+        if not report.has_load:
             self._without_load_reports.add(backend.entry.service)
 
     def _best_good_backend(
--- a/packages/entry/src/magnoliacrank/entry/service_handlers.py
+++ b/packages/entry/src/magnoliacrank/entry/service_handlers.py
@@ -7,6 +7,7 @@
 
 from magnoliacrank.entry import peer_records
 from magnoliacrank.platform import directory_wire
+from magnoliacrank.platform import wire_values
 from magnoliacrank.policy import caller_steering
 
 if TYPE_CHECKING:
@@ -208,5 +209,4 @@
 
 
 def _offset(query: dict[str, list[str]], name: str) -> int:
-    text = query.get(name, ["0"])[0]
-    return int(text) if text.isdigit() else 0
+    return wire_values.parse_integer(query.get(name, ["0"])[0]) or 0
--- a/packages/gateway/src/magnoliacrank/gateway/entry_handler.py
+++ b/packages/gateway/src/magnoliacrank/gateway/entry_handler.py
@@ -13,6 +13,7 @@
 from magnoliacrank.model import headers
 from magnoliacrank.model import ids
 from magnoliacrank.model import verdict
+from magnoliacrank.platform import wire_values
 from magnoliacrank.policy import entry_order
 
 if TYPE_CHECKING:
@@ -193,7 +194,7 @@
         self, exchange: inbound_exchange.InboundExchange
     ) -> None:
         text = _parse_query(exchange).get("from_offset", "0")
-        from_offset = int(text) if text.isascii() and text.isdigit() else 0
+        from_offset = wire_values.parse_integer(text) or 0
         rows = self._status.notices(from_offset)
         await _answer_json(exchange, _STATUS_OK, {"notices": rows})
 
--- a/packages/gateway/src/magnoliacrank/gateway/key_transfer.py
+++ b/packages/gateway/src/magnoliacrank/gateway/key_transfer.py
@@ -94,7 +94,7 @@
             handed_over = msgspec.msgpack.decode(
                 payload.body, type=key_handover.HandedOverKey
             )
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             logging.warning(
                 "keys: Key handed over by %s can't be decoded: %s.",
                 sender.instance_id,
--- a/packages/gateway/src/magnoliacrank/gateway/request_reader.py
+++ b/packages/gateway/src/magnoliacrank/gateway/request_reader.py
@@ -17,6 +17,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+_MAX_BUDGET_DIGITS = 15
+"""Digits of a stated budget from which on it is longer than any deadline."""
+
 _MAX_KEY_LENGTH = 256
 _MS_PER_S = 1000.0
 
@@ -130,7 +133,9 @@
         return route.deadline_ms / _MS_PER_S
     if not (stated.isascii() and stated.isdigit()):
         return InvalidRequest(verdict.Reason.BAD_REQUEST)
-    budget_ms = min(int(stated), route.deadline_ms)
+    budget_ms = route.deadline_ms
+    if len(stated) <= _MAX_BUDGET_DIGITS:
+        budget_ms = min(int(stated), budget_ms)
     if budget_ms == 0:
         return InvalidRequest(verdict.Reason.DEADLINE_EXPIRED)
     return budget_ms / _MS_PER_S
--- a/packages/model/src/magnoliacrank/model/backend_entry.py
+++ b/packages/model/src/magnoliacrank/model/backend_entry.py
@@ -82,6 +82,9 @@
     cold_s: float
     """Seconds until the server is warm; 0 if not stated."""
 
+    has_load: bool = True
+    """Whether the response had a load header, readable or not."""
+
     @property
     def tells_load(self) -> bool:
         """Whether the response stated the server's load."""
--- a/packages/peers/src/magnoliacrank/peers/messenger.py
+++ b/packages/peers/src/magnoliacrank/peers/messenger.py
@@ -194,7 +194,7 @@
                 message = msgspec.msgpack.decode(
                     payload.body, type=registration.message_type
                 )
-            except msgspec.MsgspecError as error:
+            except (msgspec.MsgspecError, RecursionError) as error:
                 self._count_unreadable(sender, payload, str(error))
                 continue
             self.counts.received += 1
--- a/packages/platform/src/magnoliacrank/platform/backend_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/backend_wire.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from magnoliacrank.model import backend_entry
 from magnoliacrank.platform import request_wire
 from magnoliacrank.platform import wire_values
@@ -20,17 +18,24 @@
 _HEALTHY_STATUS = 200
 _MIN_LOAD_FIELDS = 3
 
+_MAX_SLOTS = 1 << 16
+"""Largest number of slots of one backend server."""
+
+_MAX_SLOWDOWN = 1000.0
+"""Largest slowdown that a backend server may state."""
+
+_UNREADABLE_WARMUP_S = 1.0
+"""Warm-up time that is assumed if a server states one that is unreadable."""
+
 
 def decode_entry(server_id: str, value: bytes) -> backend_entry.BackendEntry:
     """Decodes the entry that a backend server writes to the store.
 
     Raises:
-        WireValueError: The entry is malformed; the server can't be used.
+        WireValueError: The entry is malformed or lacks a field; the server
+            can't be used.
     """
-    try:
-        fields = msgspec.json.decode(value)
-    except ValueError as error:
-        raise wire_values.WireValueError(str(error)) from error
+    fields = wire_values.decode_json(value)
     info = wire_values.read_mapping(fields, "info")
     status = wire_values.read_mapping(fields, "status")
     state = wire_values.read_string(status, "state")
@@ -50,7 +55,7 @@
         port=port,
         data_centre=wire_values.read_string(info, "zone"),
         version=wire_values.read_string(info, "version"),
-        slots=wire_values.read_integer(info, "slots", 1),
+        slots=wire_values.read_integer(info, "slots", 1, _MAX_SLOTS),
         is_draining=_IS_DRAINING[state],
         warmup_left_s=wire_values.read_duration_s(status, "warmup-left"),
         born_ms=born_ms,
@@ -62,15 +67,14 @@
 ) -> backend_entry.HealthReport:
     """Decodes a response of a backend server's health path.
 
-    Load figures that can't be decoded count as not stated.
+    Load figures that can't be decoded don't mean that the server states none.
 
     Args:
         status: HTTP status.
         headers: Headers of the response; lookups ignore case.
     """
-    running, waiting, slots, slowdown = decode_load(
-        headers.get(request_wire.SERVER_LOAD, "")
-    )
+    load = headers.get(request_wire.SERVER_LOAD)
+    running, waiting, slots, slowdown = decode_load(load or "")
     cold_s = 0.0
     left = headers.get(request_wire.WARMUP_REMAINING)
     if left is not None:
@@ -83,6 +87,7 @@
         slots=slots,
         slowdown=slowdown,
         cold_s=cold_s,
+        has_load=load is not None,
     )
 
 
@@ -106,6 +111,10 @@
     return max(running - was_run, 0), waiting, slots, slowdown
 
 
+_NO_LOAD = (0, 0, 0, 1.0)
+"""Result of `decode_load` for a value that can't be decoded."""
+
+
 def decode_load(text: str) -> tuple[int, int, int, float]:
     """Decodes the value of the `Server-Load` header.
 
@@ -113,27 +122,30 @@
         Running requests, waiting requests, slots, and slowdown as a multiple of
         the usual duration; zero slots if the value can't be decoded.
     """
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) < _MIN_LOAD_FIELDS or not all(
-        part.isdigit() for part in parts
-    ):
-        return 0, 0, 0, 1.0
-    figures = [int(part) for part in parts]
-    pace = figures[3] if len(figures) > _MIN_LOAD_FIELDS else _NOMINAL_PACE
-    return figures[0], figures[1], figures[2], pace / _NOMINAL_PACE
+    figures = [
+        wire_values.parse_count(part.strip()) for part in text.split(",")
+    ]
+    known = [figure for figure in figures if figure is not None]
+    if len(known) < max(len(figures), _MIN_LOAD_FIELDS):
+        return _NO_LOAD
+    running, waiting, slots = known[:_MIN_LOAD_FIELDS]
+    pace = known[3] if len(known) > _MIN_LOAD_FIELDS else _NOMINAL_PACE
+    slowdown = pace / _NOMINAL_PACE
+    if slots > _MAX_SLOTS or not 0 < slowdown <= _MAX_SLOWDOWN:
+        return _NO_LOAD
+    return running, waiting, slots, slowdown
 
 
 def _parse_warmup_s(text: str) -> float:
     """Returns the seconds of a duration, whose unit may be missing.
 
-    A text that can't be decoded counts as one second.
+    The presence of the header states that the server is cold, so a text that
+    can't be decoded counts as `_UNREADABLE_WARMUP_S`.
     """
-    try:
-        return wire_values.parse_duration_s(text.strip(), "warmup")
-    except wire_values.WireValueError:
-        pass
-    try:
-        return max(float(text), 0.0)
-    except ValueError:
-        # The presence of the header states that the server is cold.
-        return 1.0
+    text = text.strip()
+    for candidate in (text, f"{text}s"):
+        try:
+            return wire_values.parse_duration_s(candidate, "warmup")
+        except wire_values.WireValueError:
+            continue
+    return _UNREADABLE_WARMUP_S
--- a/packages/platform/src/magnoliacrank/platform/operator_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/operator_wire.py
@@ -52,7 +52,7 @@
     Raises:
         WireValueError: The order is malformed.
     """
-    fields = _decode(value)
+    fields = wire_values.decode_json(value)
     return orders.RolloutOrder(
         service=service,
         target_version=wire_values.read_string(fields, "target-version"),
@@ -77,7 +77,7 @@
     Raises:
         WireValueError: The record is malformed.
     """
-    fields = _decode(value)
+    fields = wire_values.decode_json(value)
     state = wire_values.read_string(fields, "state")
     try:
         known = orders.RolloutState(state)
@@ -96,7 +96,7 @@
     Raises:
         WireValueError: The configuration is malformed.
     """
-    fields = _decode(value)
+    fields = wire_values.decode_json(value)
     services = [
         _decode_service(item)
         for item in wire_values.read_list(fields, "services")
@@ -123,13 +123,6 @@
     )
 
 
-def _decode(value: bytes) -> Any:
-    try:
-        return msgspec.json.decode(value)
-    except ValueError as error:
-        raise wire_values.WireValueError(str(error)) from error
-
-
 def _decode_service(fields: Any) -> route_plan.ServiceSettings:
     return route_plan.ServiceSettings(
         name=wire_values.read_string(fields, "name"),
--- a/packages/platform/src/magnoliacrank/platform/request_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/request_wire.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliacrank.platform import wire_values
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -52,11 +54,12 @@
 
 
 def read_deadline_s(headers: Mapping[str, str]) -> float | None:
-    """Returns the seconds that the caller waits, or None if not stated."""
-    text = headers.get(DEADLINE, "").strip()
-    if not (text.isascii() and text.isdigit()):
-        return None
-    return int(text) / _MS_PER_S
+    """Returns the seconds that the caller waits, or None if not stated.
+
+    A value of more than nine digits, over eleven days, sets no limit.
+    """
+    left_ms = wire_values.parse_count(headers.get(DEADLINE, "").strip())
+    return None if left_ms is None else left_ms / _MS_PER_S
 
 
 def format_deadline(left_s: float) -> str:
@@ -74,6 +77,8 @@
     for part in headers.get(KEEP_ALIVE, "").split(","):
         text = part.strip().lower()
         if text.startswith(_TIMEOUT_PARAMETER):
-            value = text.removeprefix(_TIMEOUT_PARAMETER)
-            return float(value) if value.isdigit() else None
+            seconds = wire_values.parse_count(
+                text.removeprefix(_TIMEOUT_PARAMETER)
+            )
+            return None if seconds is None else float(seconds)
     return None
--- a/packages/platform/src/magnoliacrank/platform/settings_file.py
+++ b/packages/platform/src/magnoliacrank/platform/settings_file.py
@@ -133,7 +133,7 @@
         raise SettingsFileError(f"{path}: {error}") from error
     try:
         document = yaml.load(text, Loader=_YAML_LOADER)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, *wire_values.MALFORMED_ERRORS) as error:
         line = " ".join(str(error).split())
         raise SettingsFileError(f"{path}: not YAML: {line}") from error
     return decode(document, path)
@@ -163,7 +163,7 @@
     listen = read(wire_values.read_mapping, document, "listen", default={})
     platform = read(wire_values.read_mapping, document, "platform", default={})
     ports = read(wire_values.read_list, document, "internal-ports", default=[])
-    if not ports or not isinstance(ports[0], int):
+    if not ports or type(ports[0]) is not int or not 0 < ports[0] < 65536:
         errors.append(f"internal-ports: {ports!r} is not a range of ports")
         ports = [0]
     directory = None
--- a/packages/platform/src/magnoliacrank/platform/store_client.py
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import enum
 from typing import TYPE_CHECKING
 from typing import Any
 
 import aiohttp
 import attrs
-import msgspec
 
 from magnoliacrank.platform import store_records
+from magnoliacrank.platform import wire_values
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -194,8 +193,8 @@
                 return answer
             try:
                 page = _decode_newest(answer)
-            except (ValueError, KeyError, TypeError) as error:
-                return StoreFailure(StoreFailureKind.MALFORMED, repr(error))
+            except wire_values.WireValueError as error:
+                return StoreFailure(StoreFailureKind.MALFORMED, str(error))
             records += page.records
             if first_end is None:
                 first_end = page.end
@@ -268,9 +267,11 @@
         if isinstance(answer, StoreFailure):
             return answer
         try:
-            return int(msgspec.json.decode(answer)["offset"])
-        except (ValueError, KeyError, TypeError) as error:
-            return StoreFailure(StoreFailureKind.MALFORMED, repr(error))
+            return wire_values.read_integer(
+                wire_values.decode_json(answer), "offset"
+            )
+        except wire_values.WireValueError as error:
+            return StoreFailure(StoreFailureKind.MALFORMED, str(error))
 
     async def _call(
         self,
@@ -318,28 +319,38 @@
 
 
 def _decode_newest(data: bytes) -> _NewestPage:
-    document: Any = msgspec.json.decode(data)
+    """Decodes one page of the newest records.
+
+    Raises:
+        WireValueError: The page is malformed.
+    """
+    document = wire_values.decode_json(data)
     records = tuple(
         store_records.KeyedRecord(
-            str(item["key"]), _decode_value(item["value"]), int(item["offset"])
+            wire_values.read_string(item, "key"),
+            _decode_value(item),
+            wire_values.read_integer(item, "offset"),
         )
-        for item in document["items"]
+        for item in wire_values.read_list(document, "items")
     )
     return _NewestPage(
-        records, bool(document.get("has-more")), int(document["end"])
+        records,
+        bool(document.get("has-more")),
+        wire_values.read_integer(document, "end"),
     )
 
 
 def _decode_first_offset(data: bytes) -> int | None:
     """Returns the oldest retained offset that a response states, or None."""
     try:
-        return int(msgspec.json.decode(data)["first"])
-    except (ValueError, KeyError, TypeError):
+        return wire_values.read_integer(wire_values.decode_json(data), "first")
+    except wire_values.WireValueError:
         return None
 
 
-def _decode_value(text: str) -> bytes | None:
+def _decode_value(item: Any) -> bytes | None:
+    value = item.get("value")
     try:
-        return base64.b64decode(text) or None
-    except binascii.Error as error:
-        raise ValueError(str(error)) from error
+        return base64.b64decode(value) or None
+    except (ValueError, TypeError) as error:
+        raise wire_values.WireValueError(f"value: {error}") from error
--- a/packages/platform/src/magnoliacrank/platform/store_instance_list.py
+++ b/packages/platform/src/magnoliacrank/platform/store_instance_list.py
@@ -165,7 +165,7 @@
         return None
     try:
         entry = msgspec.json.decode(record.value, type=instance.EntryInstance)
-    except ValueError as error:
+    except wire_values.MALFORMED_ERRORS as error:
         _log_unreadable(record.key, error)
         return None
     return instance.Announcement(entry, ids.LogOffset(record.offset))
@@ -194,7 +194,7 @@
     )
 
 
-def _log_unreadable(key: str, error: ValueError) -> None:
+def _log_unreadable(key: str, error: Exception) -> None:
     logging.log_every_n_seconds(
         logging.WARNING,
         "list: The entry %s can not be read: %s.",
--- a/packages/platform/src/magnoliacrank/platform/wire_values.py
+++ b/packages/platform/src/magnoliacrank/platform/wire_values.py
@@ -1,18 +1,86 @@
-"""Type-checked access to fields of decoded JSON and YAML documents."""
+"""Decoding of documents and values from outside, within bounds.
+
+Every function returns a value within the bounds that it states, or raises
+`WireValueError` and nothing else.
+"""
 
 from __future__ import annotations
 
+import ipaddress
 import re
 from typing import Any
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+import msgspec
+
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that every JSON implementation represents exactly; also the
+largest number."""
+
+MAX_DURATION_S = 30 * 86_400.0
+"""Longest duration, in seconds."""
+
+MALFORMED_ERRORS = (ValueError, RecursionError)
+"""Exceptions of msgspec and of the YAML loader for malformed input.
+
+Input that is nested too deeply raises `RecursionError`, which isn't a
+`ValueError`.
+"""
+
+_DURATION = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,15})?)(ms|s)")
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0}
+_COUNT = re.compile(r"[0-9]{1,9}")
+_INTEGER = re.compile(r"[0-9]{1,15}")
+_PORT = re.compile(r"[0-9]{1,5}")
+_HOST = re.compile(r"(?!.{254})[A-Za-z0-9_-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*")
+_MAX_SHOWN = 80
 
 
 class WireValueError(ValueError):
     """A field is missing or holds a value that is not allowed."""
 
 
+def decode_json(value: bytes) -> Any:
+    """Decodes a JSON document.
+
+    Raises:
+        WireValueError: The bytes are no JSON document, or it is nested too
+            deeply or contains a number out of range.
+    """
+    try:
+        return msgspec.json.decode(value)
+    except MALFORMED_ERRORS as error:
+        raise WireValueError(str(error)) from error
+
+
+def parse_count(text: str) -> int | None:
+    """Returns a count of up to nine ASCII digits, or None for another text."""
+    return int(text) if _COUNT.fullmatch(text) else None
+
+
+def parse_integer(text: str) -> int | None:
+    """Returns an integer of up to 15 ASCII digits, or None for another text."""
+    return int(text) if _INTEGER.fullmatch(text) else None
+
+
+def is_ip_address(text: str) -> bool:
+    """Returns whether a text is an IP address, not a name to look up."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def check_ip_address(text: str, field: str) -> None:
+    """Checks that a text is an IP address.
+
+    Raises:
+        WireValueError: It isn't.
+    """
+    if not is_ip_address(text):
+        raise WireValueError(f"{field}: {_shown(text)} is not an IP address")
+
+
 def parse_duration_s(text: Any, field: str) -> float:
     """Returns the seconds of a duration with a unit.
 
@@ -26,9 +94,14 @@
     found = _DURATION.fullmatch(text) if isinstance(text, str) else None
     if found is None:
         raise WireValueError(
-            f"{field}: {text!r} is not a duration such as 1500ms"
+            f"{field}: {_shown(text)} is not a duration such as 1500ms"
         )
-    return float(found[1]) * _SECONDS_PER_UNIT[found[2]]
+    seconds = float(found[1]) * _SECONDS_PER_UNIT[found[2]]
+    if seconds > MAX_DURATION_S:
+        raise WireValueError(
+            f"{field}: {text} is longer than {MAX_DURATION_S:g}s"
+        )
+    return seconds
 
 
 def format_duration(seconds: float) -> str:
@@ -44,35 +117,43 @@
     """
     value = _read(fields, name)
     if not isinstance(value, str) or not value:
-        raise WireValueError(f"{name}: {value!r} is not a non-empty string")
+        raise WireValueError(
+            f"{name}: {_shown(value)} is not a non-empty string"
+        )
     return value
 
 
-def read_number(fields: Any, name: str, minimum: float = 0.0) -> float:
+def read_number(
+    fields: Any, name: str, minimum: float = 0.0, maximum: float = MAX_INTEGER
+) -> float:
     """Returns a number field.
 
     Raises:
-        WireValueError: The field is missing, below the minimum or of another
-            type.
+        WireValueError: The field is missing, not finite, out of bounds or of
+            another type.
     """
     value = _read(fields, name)
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise WireValueError(f"{name}: {value!r} is not a number")
-    if value < minimum:
-        raise WireValueError(f"{name}: {value!r} is less than {minimum:g}")
+        raise WireValueError(f"{name}: {_shown(value)} is not a number")
+    if not minimum <= value <= maximum:
+        raise WireValueError(
+            f"{name}: {_shown(value)} is not between {minimum:g} and"
+            f" {maximum:g}"
+        )
     return value
 
 
-def read_integer(fields: Any, name: str, minimum: int = 0) -> int:
+def read_integer(
+    fields: Any, name: str, minimum: int = 0, maximum: int = MAX_INTEGER
+) -> int:
     """Returns an integer field.
 
     Raises:
-        WireValueError: The field is missing, below the minimum or of another
-            type.
+        WireValueError: The field is missing, out of bounds or of another type.
     """
-    value = read_number(fields, name, minimum)
+    value = read_number(fields, name, minimum, maximum)
     if not isinstance(value, int):
-        raise WireValueError(f"{name}: {value!r} is not an integer")
+        raise WireValueError(f"{name}: {_shown(value)} is not an integer")
     return value
 
 
@@ -93,7 +174,7 @@
     """
     value = _read(fields, name)
     if not isinstance(value, list):
-        raise WireValueError(f"{name}: {value!r} is not a list")
+        raise WireValueError(f"{name}: {_shown(value)} is not a list")
     return value
 
 
@@ -105,13 +186,13 @@
     """
     value = _read(fields, name)
     if not isinstance(value, dict):
-        raise WireValueError(f"{name}: {value!r} is not a mapping")
+        raise WireValueError(f"{name}: {_shown(value)} is not a mapping")
     return value
 
 
 def _read(fields: Any, name: str) -> Any:
     if not isinstance(fields, dict):
-        raise WireValueError(f"{name}: {fields!r} is not a mapping")
+        raise WireValueError(f"{name}: {_shown(fields)} is not in a mapping")
     if name not in fields:
         raise WireValueError(f"{name}: missing")
     return fields[name]
@@ -128,6 +209,18 @@
         WireValueError: The text is not an address.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise WireValueError(f"{field}: {text!r} is not HOST:PORT")
+    if (
+        not _HOST.fullmatch(host)
+        or not _PORT.fullmatch(port)
+        or not 0 < int(port) < 65536
+    ):
+        raise WireValueError(f"{field}: {_shown(text)} is not HOST:PORT")
     return host, int(port)
+
+
+def _shown(value: Any) -> str:
+    """Returns the beginning of a value's representation, for messages."""
+    if isinstance(value, int) and abs(value) > MAX_INTEGER:
+        return f"an integer of {value.bit_length()} bits"
+    text = repr(value)
+    return text if len(text) <= _MAX_SHOWN else f"{text[:_MAX_SHOWN]}..."
