--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -392,6 +392,10 @@
             "connections_opened", lambda: self._table.connections_opened
         )
         metrics.add_gauge("log_lines_dropped", lambda: self.log.dropped_lines)
+        metrics.add_gauge("read_errors", lambda: self._reader.read_errors)
+        metrics.add_gauge(
+            "unreadable_records", lambda: self._view.unreadable_records
+        )
         metrics.add_gauge(
             "view_age_s",
             lambda: (
--- a/packages/entry/src/magnoliacrank/entry/keyed_view.py
+++ b/packages/entry/src/magnoliacrank/entry/keyed_view.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from magnoliacrank.platform import store_records
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from magnoliacrank.platform import store_client
 
@@ -57,11 +60,33 @@
             if record.value is not None
         }
 
-    def apply(
+    @contextlib.contextmanager
+    def merging(
         self, records: Iterable[store_records.KeyedRecord]
-    ) -> list[store_records.KeyedRecord]:
-        """Merges records and returns those that count as changes."""
-        return [record for record in records if self._merge(record)]
+    ) -> Iterator[list[store_records.KeyedRecord]]:
+        """Merges records while the caller applies the changes among them.
+
+        If applying them raises an exception, the records count as unread, so
+        that a repeated read brings the same changes again.
+
+        Args:
+            records: Records in any order.
+
+        Yields:
+            The records that count as changes.
+        """
+        records = list(records)
+        keys = {record.key for record in records}
+        known = {key: self._records.get(key) for key in keys}
+        changed = {key: self._changed.get(key) for key in keys}
+        mark = self._mark
+        try:
+            yield [record for record in records if self._merge(record)]
+        except BaseException:
+            _restore(self._records, known)
+            _restore(self._changed, changed)
+            self._mark = mark
+            raise
 
     def advance(self, next_offset: int) -> None:
         """Advances the read position after a read of the store.
@@ -80,19 +105,16 @@
         """
         self._seen = max(self._seen, seen)
 
-    def replace(
+    def expand_listing(
         self, newest: store_client.NewestRecords
     ) -> list[store_records.KeyedRecord]:
-        """Replaces the contents by a complete listing of the topic.
+        """Returns a complete listing of the topic as records to merge.
 
         Keys that the listing lacks count as deleted, unless their record is
         newer than the listing.
 
         Args:
             newest: Newest record of each key in the store.
-
-        Returns:
-            The records that count as changes.
         """
         listed = {record.key for record in newest.records}
         dropped = [
@@ -100,9 +122,7 @@
             for key, record in self._records.items()
             if key not in listed and record.offset < newest.end
         ]
-        changed = self.apply((*newest.records, *dropped))
-        self.advance(newest.end)
-        return changed
+        return [*newest.records, *dropped]
 
     def changes_since(self, mark: int) -> list[store_records.KeyedRecord]:
         """Returns the records of keys that changed at or after an offset."""
@@ -126,3 +146,16 @@
         self._changed[record.key] = record.offset
         self._mark = max(self._mark, record.offset + 1)
         return True
+
+
+_ValueT = TypeVar("_ValueT")
+
+
+def _restore(
+    table: dict[str, _ValueT], before: dict[str, _ValueT | None]
+) -> None:
+    for key, value in before.items():
+        if value is None:
+            table.pop(key, None)
+        else:
+            table[key] = value
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -134,6 +134,7 @@
         self._states = states
         self._verified_s: float | None = None
         self._failures = 0
+        self._read_errors = 0
         self._next_store_read_s = 0.0
         self._reading: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
@@ -151,6 +152,11 @@
         """Whether the latest read of the store failed."""
         return self._failures > 0
 
+    @property
+    def read_errors(self) -> int:
+        """Number of reads that ended by an unexpected exception."""
+        return self._read_errors
+
     def set_change_handler(self, handler: Callable[[], None]) -> None:
         """Sets the callback for reads that changed the view."""
         self._on_change = handler
@@ -311,6 +317,15 @@
         return self._reading
 
     async def _read(self, source: record_sources.Source) -> None:
+        try:
+            await self._read_from(source)
+        except Exception:
+            # The records count as unread; the next read brings them again.
+            self._read_errors += 1
+            self._next_store_read_s = self._clock() + _INITIAL_BACKOFF_S
+            raise
+
+    async def _read_from(self, source: record_sources.Source) -> None:
         before = (self._view.operators.mark, self._view.servers.mark)
         asks_peers_first = self._asks_peers_first()
         is_done = asks_peers_first and await self._read_peers()
@@ -427,8 +442,8 @@
             return newest
         if view is self._view.operators:
             await self._ensure_rollout_states(newest.records)
-        changed = view.replace(newest)
-        self._apply_changes(view, changed)
+        self._apply(view, view.expand_listing(newest))
+        view.advance(newest.end)
         return None
 
     def _apply(
@@ -436,19 +451,13 @@
         view: keyed_view.KeyedView,
         records: list[store_records.KeyedRecord],
     ) -> None:
-        self._apply_changes(view, view.apply(records))
-
-    def _apply_changes(
-        self,
-        view: keyed_view.KeyedView,
-        changed: list[store_records.KeyedRecord],
-    ) -> None:
-        if not changed:
-            return
-        if view is self._view.operators:
-            self._view.apply_operators(changed)
-        else:
-            self._view.apply_servers(changed)
+        with view.merging(records) as changed:
+            if not changed:
+                return
+            if view is self._view.operators:
+                self._view.apply_operators(changed)
+            else:
+                self._view.apply_servers(changed)
 
     def _record_store_result(
         self, failure: store_client.StoreFailure | None
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -85,6 +85,12 @@
         self._retained_entries: dict[str, backend_entry.BackendEntry] = {}
         self._versions = version_choice.VersionChoice()
         self._by_service: dict[str, list[backend_entry.BackendEntry]] = {}
+        self._unreadable_records = 0
+
+    @property
+    def unreadable_records(self) -> int:
+        """Number of changed records that were refused as unreadable."""
+        return self._unreadable_records
 
     @property
     def plan(self) -> route_plan.RoutePlan | None:
@@ -172,29 +178,42 @@
     def apply_operators(
         self, changed: Iterable[store_records.KeyedRecord]
     ) -> None:
-        """Applies changed records of the operators' topic."""
-        for record in changed:
-            if record.key == operator_wire.CONFIGURATION_KEY:
-                self._apply_configuration(record)
-                continue
-            service = operator_wire.rollout_service(record.key)
-            if service is not None:
-                self._apply_rollout(service, record)
+        """Applies changed records of the operators' topic.
+
+        Raises:
+            ExceptionGroup: Some records could not be applied, for a reason
+                other than their contents; the others are in force.
+        """
+        errors = _apply_each(self._apply_operator, changed)
         self._apply_evacuations()
         self._rebuild_index()
+        _raise_together(errors)
 
     def apply_servers(
         self, changed: Iterable[store_records.KeyedRecord]
     ) -> None:
-        """Applies changed records of the backend servers' topic."""
-        for record in changed:
-            self._apply_server(record)
+        """Applies changed records of the backend servers' topic.
+
+        Raises:
+            ExceptionGroup: Some records could not be applied, for a reason
+                other than their contents; the others are in force.
+        """
+        errors = _apply_each(self._apply_server, changed)
         self._rebuild_index()
         counts = collections.Counter(
             entry.data_centre for entry in self._entries.values()
         )
         for listener in self._listeners:
             listener.on_servers(dict(counts))
+        _raise_together(errors)
+
+    def _apply_operator(self, record: store_records.KeyedRecord) -> None:
+        if record.key == operator_wire.CONFIGURATION_KEY:
+            self._apply_configuration(record)
+            return
+        service = operator_wire.rollout_service(record.key)
+        if service is not None:
+            self._apply_rollout(service, record)
 
     def _apply_configuration(self, record: store_records.KeyedRecord) -> None:
         if record.value is None:
@@ -202,6 +221,7 @@
         try:
             plan = operator_wire.decode_configuration(record.value)
         except wire_values.WireValueError as error:
+            self._unreadable_records += 1
             self._log.warning(
                 "configuration unreadable",
                 offset=record.offset,
@@ -224,6 +244,7 @@
         try:
             order = operator_wire.decode_rollout(service, record.value)
         except wire_values.WireValueError as error:
+            self._unreadable_records += 1
             self._log.warning(
                 "rollout order unreadable", service=service, reason=str(error)
             )
@@ -304,6 +325,7 @@
         try:
             return backend_wire.decode_entry(record.key, record.value)
         except wire_values.WireValueError as error:
+            self._unreadable_records += 1
             self._log.warning(
                 "server entry unreadable",
                 server=record.key,
@@ -366,6 +388,29 @@
         self._by_service = by_service
 
 
+def _apply_each(
+    apply: Callable[[store_records.KeyedRecord], None],
+    records: Iterable[store_records.KeyedRecord],
+) -> list[Exception]:
+    """Applies records one by one.
+
+    Returns:
+        The exceptions of the records that could not be applied.
+    """
+    errors: list[Exception] = []
+    for record in records:
+        try:
+            apply(record)
+        except Exception as error:
+            errors.append(error)
+    return errors
+
+
+def _raise_together(errors: list[Exception]) -> None:
+    if errors:
+        raise ExceptionGroup("records not applied", errors)
+
+
 def _is_same_value(before: bytes | None, after: bytes | None) -> bool:
     return before == after
 
