Keep a version on trial from replacing the old one after an outage

Cause: the base version was learned from what is registered; the store's return was noted after its first answer had been applied, so entries that had run out counted as departures; servers kept after an outage were used whatever their version.

--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -195,6 +195,7 @@
             servers=beat.servers_mark,
             verified_s=now_s - beat.verified_age_ms / 1000,
         )
+        self._view.on_store_answer(marks.verified_s)
         self._sources.on_offsets(marks, self._seen, now_s)
         self._verify_from_peer(marks)
         if self._verified_s is None or self._is_behind():
@@ -381,6 +382,7 @@
             self._states.adopt_states(changes.states)
         if not await self._ensure_rollout_states(operators):
             return False
+        self._view.on_store_answer(requested_s - found.verified_age_ms / 1000)
         self._apply(view.operators, operators)
         self._apply(view.servers, peer_records.from_rows(changes.servers))
         view.operators.note_seen(found.operators_mark)
@@ -429,6 +431,7 @@
                 topic, view.next_offset, 0.0, _CALL_TIMEOUT_S
             )
             if not isinstance(page, store_client.StoreFailure):
+                self._view.on_store_answer(self._clock())
                 if view is self._view.operators:
                     await self._ensure_rollout_states(page.records)
                 self._apply(view, list(page.records))
@@ -440,6 +443,7 @@
         newest = await self._store.newest(topic, _CALL_TIMEOUT_S)
         if isinstance(newest, store_client.StoreFailure):
             return newest
+        self._view.on_store_answer(self._clock())
         if view is self._view.operators:
             await self._ensure_rollout_states(newest.records)
         self._apply(view, view.expand_listing(newest))
@@ -478,4 +482,4 @@
             backoff_s = _INITIAL_BACKOFF_S * 2 ** min(self._failures, 4)
             self._failures += 1
             self._next_store_read_s = now_s + min(backoff_s, _MAX_BACKOFF_S)
-        self._view.on_store_call(answers=failure is None)
+            self._view.on_store_failure()
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -109,8 +110,9 @@
 
     @property
     def has_backends(self) -> bool:
-        """Whether any backend server is registered."""
-        return bool(self._entries)
+        """Whether any backend server is known."""
+        self._drop_expired_entries()
+        return bool(self._entries or self._retained_entries)
 
     def add_listener(self, listener: SiteListener) -> None:
         """Adds a listener that is called after changes."""
@@ -122,10 +124,8 @@
         Excludes servers in evacuated data centres, draining ones and those of
         versions that no rollout order allows.
         """
-        found = self._by_service.get(service, [])
-        if not self._retained_entries:
-            return found
-        return found + self._retained_backends(service)
+        self._drop_expired_entries()
+        return self._by_service.get(service, [])
 
     def entry(self, server_id: str) -> backend_entry.BackendEntry | None:
         """Returns the entry of a server, if it is registered."""
@@ -150,17 +150,36 @@
         return found[0].target_version
 
     def has_only_target(self, service: str) -> bool:
-        """Whether all servers of a service run the new version of a rollout."""
+        """Whether all servers of a service run the new version of a rollout.
+
+        False while the entries of other versions may be missing because the
+        store lost them.
+        """
         target = self.target_version(service)
-        return target is not None and all(
+        if target is None or self._lapsed.may_lack_unknown_entries(
+            self._clock()
+        ):
+            return False
+        self._drop_expired_entries()
+        return all(
             entry.version == target
-            for entry in self._entries.values()
+            for entry in self._known_entries()
             if entry.service == service
         )
 
-    def on_store_call(self, *, answers: bool) -> None:
-        """Records whether the latest read of the store succeeded."""
-        self._lapsed.on_store_call(answers=answers, now_s=self._clock())
+    def on_store_failure(self) -> None:
+        """Records that a read of the store by this instance failed."""
+        self._lapsed.on_store_failure()
+
+    def on_store_answer(self, answered_s: float) -> None:
+        """Records that the store answered a read of this or another instance.
+
+        To be called before the records that were read are applied.
+
+        Args:
+            answered_s: Clock time of the read in seconds.
+        """
+        self._lapsed.on_store_answer(answered_s)
 
     def apply_status(self, status: orders.RolloutStatus) -> None:
         """Applies a recorded or just decided state of a rollout."""
@@ -285,7 +304,8 @@
                 record.key, before, is_unreadable=record.value is not None
             )
             return
-        self._retained_entries.pop(record.key, None)
+        retained = self._retained_entries.pop(record.key, None)
+        before = before or retained
         self._entries[record.key] = entry
         if before is not None and before.born_ms != entry.born_ms:
             self._notify_backend_gone(record.key)
@@ -337,25 +357,31 @@
         for listener in self._listeners:
             listener.on_backend_gone(server_id)
 
-    def _retained_backends(
-        self, service: str
-    ) -> list[backend_entry.BackendEntry]:
-        """Returns servers whose entries expired during a store outage.
+    def _known_entries(self) -> Iterable[backend_entry.BackendEntry]:
+        """Returns the registered servers and those retained after an outage.
 
+        The latter are servers whose entries expired during a store outage.
         They stay in use until a deadline by which entries of living servers
         have been written again.
         """
+        return itertools.chain(
+            self._entries.values(), self._retained_entries.values()
+        )
+
+    def _drop_expired_entries(self) -> None:
+        if not self._retained_entries:
+            return
         now_s = self._clock()
-        for server_id in list(self._retained_entries):
-            if not self._lapsed.is_lapsed(server_id, now_s):
-                del self._retained_entries[server_id]
-                self._notify_backend_gone(server_id)
-        return [
-            entry
-            for entry in self._retained_entries.values()
-            if entry.service == service
-            and entry.data_centre not in self._evacuated
+        expired = [
+            server_id
+            for server_id in self._retained_entries
+            if not self._lapsed.is_lapsed(server_id, now_s)
         ]
+        for server_id in expired:
+            del self._retained_entries[server_id]
+            self._notify_backend_gone(server_id)
+        if expired:
+            self._rebuild_index()
 
     def _is_decided(self, order: orders.RolloutOrder) -> bool:
         status = self._statuses.get(order.service)
@@ -368,7 +394,7 @@
     def _rebuild_index(self) -> None:
         """Rebuilds the index of servers that may get requests, by service."""
         by_service: dict[str, list[backend_entry.BackendEntry]] = {}
-        for entry in self._entries.values():
+        for entry in self._known_entries():
             by_service.setdefault(entry.service, []).append(entry)
         for service, entries in by_service.items():
             order = self._orders.get(service)
--- a/packages/entry/tests/test_rollouts.py
+++ b/packages/entry/tests/test_rollouts.py
@@ -197,3 +197,103 @@
         return value and json.loads(value)["state"]
 
     await site.until(lambda: state() == "rolled_back")
+
+
+def _expire(site, *backends):
+    for backend in backends:
+        site.store.delete("keyed.servers", backend.server_id)
+
+
+async def _count_runs(site, servers, requests, number=1):
+    """Sends requests; returns the statuses and the runs of the servers."""
+    before = sum(len(server.runs) for server in servers)
+    statuses = []
+    for index in range(requests):
+        status, _, _ = await site.request(
+            request_id=f"c{number}-{index}", number=number
+        )
+        statuses.append(status)
+    return statuses, sum(len(server.runs) for server in servers) - before
+
+
+@pytest.mark.parametrize("is_rolled_back", [False, True])
+async def test_version_on_trial_does_not_replace_expired_servers(
+    site, is_rolled_back
+):
+    """Guards against a version on trial that becomes the old version.
+
+    All entries expire in an outage of the store, and those of the new version
+    are written again first.
+    """
+    old = await site.add_backend("old1")
+    instance = await site.add_instance()
+    await site.ready()
+    new = await site.add_backend("new1", version="v2")
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    await site.until(lambda: instance._trials.trial("svc") is not None)
+    if is_rolled_back:
+        instance._trials.trial("svc").mark_faulty()
+        await site.until(lambda: _states(site)[-1:] == ["rolled_back"])
+    site.store.fault = platform_store.Fault.BUSY
+    await site.until(lambda: "store lost" in site.logs[0].names())
+    await asyncio.sleep(1.0)
+    _expire(site, old, new)
+    site.register(new)
+    site.store.fault = platform_store.Fault.NONE
+    await site.until(
+        lambda: instance._view.entry("old1") is None, timeout_s=8.0
+    )
+    statuses, runs = await _count_runs(site, [new], 40)
+    assert statuses == [200] * 40
+    assert runs <= (0 if is_rolled_back else 10)
+    site.register(old)
+    await site.until(lambda: instance._view.entry("old1") is not None)
+    statuses, runs = await _count_runs(site, [new], 40, 1)
+    assert statuses == [200] * 40
+    assert runs <= (0 if is_rolled_back else 10)
+
+
+async def test_instance_started_in_an_outage_waits_for_expired_servers(site):
+    """It never read the entries of the old version."""
+    old = await site.add_backend("old1")
+    new = await site.add_backend("new1", version="v2")
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    running = {"service": "svc", "target-version": "v2", "state": "running"}
+    site.store.put("keyed.status", "rollout/svc", json.dumps(running).encode())
+    site.store.fault = platform_store.Fault.BUSY
+    instance = await site.add_instance()
+    await site.until(lambda: "store lost" in site.logs[0].names())
+    _expire(site, old)
+    site.store.fault = platform_store.Fault.NONE
+    await site.ready()
+    _, runs = await _count_runs(site, [new], 40)
+    assert runs <= 10
+    site.register(old)
+    await site.until(lambda: instance._view.entry("old1") is not None)
+    statuses, runs = await _count_runs(site, [new], 40)
+    assert statuses == [200] * 40
+    assert runs <= 10
+
+
+async def test_retained_server_of_a_version_taken_back_gets_nothing(site):
+    """Its entry expired in the outage, and the rollback came before it."""
+    old = await site.add_backend("old1")
+    instance = await site.add_instance()
+    await site.ready()
+    new = await site.add_backend("new1", version="v2")
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    await site.until(lambda: instance._trials.trial("svc") is not None)
+    await site.until(lambda: instance._view.entry("new1") is not None)
+    instance._trials.trial("svc").mark_faulty()
+    await site.until(lambda: _states(site)[-1:] == ["rolled_back"])
+    site.store.fault = platform_store.Fault.BUSY
+    await site.until(lambda: "store lost" in site.logs[0].names())
+    await asyncio.sleep(1.0)
+    _expire(site, old, new)
+    site.store.fault = platform_store.Fault.NONE
+    await site.until(
+        lambda: instance._view.entry("new1") is None, timeout_s=8.0
+    )
+    statuses, runs = await _count_runs(site, [new], 20)
+    assert statuses == [200] * 20
+    assert runs == 0
--- a/packages/policy/src/magnoliacrank/policy/version_choice.py
+++ b/packages/policy/src/magnoliacrank/policy/version_choice.py
@@ -1,7 +1,8 @@
 """Decides which versions of a service may get requests.
 
 Load pattern: servers of a new version register before, during and after the
-rollout order that allows them to get requests.
+rollout order that allows them to get requests. Entries of any version may be
+missing for a time and come back in any order.
 """
 
 from __future__ import annotations
@@ -19,11 +20,17 @@
 class VersionChoice:
     """Allowed versions of services, and their base versions.
 
-    The base version of a service is the one in use before a rollout.
+    The base version of a service is the one in use before a rollout. It is
+    the target of the service's latest completed rollout, if an order followed
+    that one; else the version that was registered first. A version on trial,
+    that is, the target of a rollout that is not completed, is never the base
+    version, even while it is the only one registered: entries of the others
+    may be missing because the store lost them.
     """
 
     def __init__(self) -> None:
-        self._base_versions: dict[str, str] = {}
+        self._ranks: dict[str, dict[str, int]] = {}
+        self._completed_rollouts = 0
 
     def on_decided(self, status: orders.RolloutStatus) -> None:
         """Records the outcome of a rollout that is followed by another one.
@@ -31,7 +38,9 @@
         A completed rollout makes its target the base version.
         """
         if status.state is orders.RolloutState.COMPLETED:
-            self._base_versions[status.service] = status.target_version
+            self._completed_rollouts += 1
+            ranks = self._ranks.setdefault(status.service, {})
+            ranks[status.target_version] = -self._completed_rollouts
 
     def allowed(
         self,
@@ -48,44 +57,86 @@
             order: Newest rollout order for the service, or None.
             status: Recorded state of that order, or None.
         """
-        target = None if order is None else order.target_version
-        base = self._base_version(service, entries, target)
+        self._rank_new_versions(service, entries)
+        on_trial = _versions_on_trial(order, status)
+        base = self._base_versions(service, entries, on_trial)
         if order is None:
-            return {base}
-        state = orders.RolloutState.RUNNING
-        if status is not None and status.target_version == target:
-            state = status.state
-        if state is orders.RolloutState.ROLLED_BACK:
-            return {base}
-        assert target is not None
-        if state is orders.RolloutState.RUNNING:
-            return {base, target}
+            return base
+        target = order.target_version
+        if target in on_trial:
+            is_rolled_back = (
+                status is not None
+                and status.target_version == target
+                and status.state is orders.RolloutState.ROLLED_BACK
+            )
+            return base if is_rolled_back else base | {target}
         if any(entry.version == target for entry in entries):
             return {target}
-        return {base, target}
+        return base | {target}
 
-    def _base_version(
+    def _base_versions(
         self,
         service: str,
         entries: Sequence[backend_entry.BackendEntry],
-        target: str | None,
-    ) -> str:
-        """Returns the base version, by default that of the oldest server."""
-        known = self._base_versions.get(service)
-        present = {entry.version for entry in entries}
-        if known is not None and known in present:
-            return known
-        others = [entry for entry in entries if entry.version != target]
-        oldest = min(
-            others or entries,
-            key=lambda entry: (
-                entry.born_ms,
-                -_count_servers(entries, entry.version),
-                entry.version,
+        on_trial: set[str],
+    ) -> set[str]:
+        """Returns the base version, or nothing if none is registered.
+
+        While servers of the base version are missing, the version next in
+        rank stands in for it.
+        """
+        ranks = self._ranks[service]
+        present = {
+            entry.version for entry in entries if entry.version not in on_trial
+        }
+        if not present:
+            return set()
+        return {min(present, key=lambda version: ranks[version])}
+
+    def _rank_new_versions(
+        self, service: str, entries: Sequence[backend_entry.BackendEntry]
+    ) -> None:
+        """Ranks versions that were not registered before, oldest first.
+
+        Versions that appear together rank by the start of their oldest
+        server.
+        """
+        ranks = self._ranks.setdefault(service, {})
+        new = {entry.version for entry in entries} - ranks.keys()
+        if not new:
+            return
+        ordered = sorted(
+            new,
+            key=lambda version: (
+                _oldest_start_ms(entries, version),
+                -_count_servers(entries, version),
+                version,
             ),
         )
-        self._base_versions[service] = oldest.version
-        return oldest.version
+        first = len(ranks)
+        for place, version in enumerate(ordered):
+            ranks[version] = first + place
+
+
+def _versions_on_trial(
+    order: orders.RolloutOrder | None, status: orders.RolloutStatus | None
+) -> set[str]:
+    """Returns the targets of rollouts that are not completed.
+
+    A recorded state also counts where its order was not read.
+    """
+    found = set() if order is None else {order.target_version}
+    if status is None:
+        return found
+    if status.state is orders.RolloutState.COMPLETED:
+        return found - {status.target_version}
+    return found | {status.target_version}
+
+
+def _oldest_start_ms(
+    entries: Sequence[backend_entry.BackendEntry], version: str
+) -> int:
+    return min(entry.born_ms for entry in entries if entry.version == version)
 
 
 def _count_servers(
--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -283,6 +283,36 @@
     assert all(0.1 <= value <= 2.0 for value in values)
 
 
+@pytest.mark.parametrize(
+    ("answers", "failure_after", "is_lapsed"),
+    [
+        pytest.param([5.0, 10.0], None, True, id="outage"),
+        pytest.param([5.0, 7.0], 5.0, True, id="short outage, own failure"),
+        pytest.param([5.0, 7.0], None, False, id="short silence"),
+        pytest.param([5.0, 6.0, 7.0], 5.0, False, id="refused alone"),
+        pytest.param([10.0], None, False, id="start"),
+        pytest.param([10.0], -1.0, True, id="start in an outage"),
+        pytest.param([5.0, 10.0, 9.0], None, True, id="old news"),
+    ],
+)
+def test_entries_lapse_in_an_outage_that_any_instance_sees(
+    answers, failure_after, is_lapsed
+):
+    """Answers of the store to other instances are known by heartbeats."""
+    lapsed = lapsed_entries.LapsedEntries()
+    if failure_after == -1.0:
+        lapsed.on_store_failure()
+    for answered_s in answers:
+        lapsed.on_store_answer(answered_s)
+        if answered_s == failure_after:
+            lapsed.on_store_failure()
+    lapsed.on_entry_removed("s", max(answers) + 0.1)
+    assert lapsed.is_lapsed("s", max(answers) + 0.2) is is_lapsed
+    assert lapsed.may_lack_unknown_entries(max(answers) + 0.2) is (
+        failure_after == -1.0
+    )
+
+
 @pytest.mark.parametrize(
     ("removed_s", "checked_s", "is_lapsed"),
     [(10.5, 11.0, True), (10.5, 12.1, False), (12.5, 12.6, False)],
@@ -291,8 +321,8 @@
     removed_s, checked_s, is_lapsed
 ):
     lapsed = lapsed_entries.LapsedEntries()
-    lapsed.on_store_call(answers=False, now_s=5.0)
-    lapsed.on_store_call(answers=True, now_s=10.0)
+    lapsed.on_store_answer(5.0)
+    lapsed.on_store_answer(10.0)
     lapsed.on_entry_removed("s", removed_s)
     assert lapsed.is_lapsed("s", checked_s) is is_lapsed
 
