Take an entry that states no start for the newest, not the oldest

A start that is not a positive whole number is refused.

The new cases of test_version_choice.py and test_odd_records.py guard against it.

--- a/packages/entry/tests/test_odd_records.py
+++ b/packages/entry/tests/test_odd_records.py
@@ -89,6 +89,21 @@
     await site.until(lambda: instance._view.entry("s1") is not None)
 
 
+async def test_entry_without_a_start_hides_no_server(site):
+    """It names a version and an address at which nobody listens."""
+    foreign = {
+        **ENTRY,
+        "info": {**ENTRY["info"], "version": "v0"},
+    }
+    del foreign["born"]
+    site.store.put("keyed.servers", "foreign", json.dumps(foreign).encode())
+    await site.add_backend("s1")
+    await site.add_instance()
+    await site.ready()
+    status, _, _ = await site.request()
+    assert status == 200
+
+
 async def test_records_whose_application_failed_are_read_again(
     site, monkeypatch
 ):
--- a/packages/model/src/magnoliacrank/model/backend_entry.py
+++ b/packages/model/src/magnoliacrank/model/backend_entry.py
@@ -39,8 +39,8 @@
     A server is cold, and can take little work, for a while after its start.
     """
 
-    born_ms: int
-    """Start of the server process, in Unix milliseconds; 0 if not stated."""
+    born_ms: int | None
+    """Start of the server process, in Unix milliseconds; None if not stated."""
 
     def without_warmup(self) -> BackendEntry:
         """Returns a copy whose remaining warm-up time is zero.
--- a/packages/platform/src/magnoliacrank/platform/backend_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/backend_wire.py
@@ -45,9 +45,9 @@
     host, port = wire_values.parse_address(
         wire_values.read_string(fields, "address"), "address"
     )
-    born_ms = 0
+    born_ms = None
     if "born" in fields:
-        born_ms = wire_values.read_integer(fields, "born")
+        born_ms = wire_values.read_integer(fields, "born", 1)
     return backend_entry.BackendEntry(
         server_id=server_id,
         service=wire_values.read_string(info, "service"),
--- a/packages/platform/tests/test_odd_values.py
+++ b/packages/platform/tests/test_odd_values.py
@@ -125,6 +125,12 @@
         backend_wire.decode_entry("i-1", _encode(document))
 
 
+@pytest.mark.parametrize("born", ["1", 1.5, -1, 0, None, True, 10**300, []])
+def test_odd_start_of_a_server_is_refused(born):
+    with pytest.raises(wire_values.WireValueError):
+        backend_wire.decode_entry("i-1", _encode({**ENTRY, "born": born}))
+
+
 @pytest.mark.parametrize("figure", [*ODD_NUMBERS, "1000000000"], ids=_short)
 @pytest.mark.parametrize("place", range(4))
 def test_odd_load_is_not_a_figure(figure, place):
--- a/packages/policy/src/magnoliacrank/policy/version_choice.py
+++ b/packages/policy/src/magnoliacrank/policy/version_choice.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from magnoliacrank.model import orders
@@ -99,7 +100,7 @@
         """Ranks versions that were not registered before, oldest first.
 
         Versions that appear together rank by the start of their oldest
-        server.
+        server; those that state none come last.
         """
         ranks = self._ranks.setdefault(service, {})
         new = {entry.version for entry in entries} - ranks.keys()
@@ -135,8 +136,13 @@
 
 def _oldest_start_ms(
     entries: Sequence[backend_entry.BackendEntry], version: str
-) -> int:
-    return min(entry.born_ms for entry in entries if entry.version == version)
+) -> float:
+    """Returns the start of a version's oldest server; infinite if unknown."""
+    return min(
+        math.inf if entry.born_ms is None else entry.born_ms
+        for entry in entries
+        if entry.version == version
+    )
 
 
 def _count_servers(
--- a/packages/policy/tests/test_version_choice.py
+++ b/packages/policy/tests/test_version_choice.py
@@ -6,6 +6,7 @@
 
 import itertools
 
+import attrs
 import pytest
 
 from magnoliacrank.model import backend_entry
@@ -122,3 +123,24 @@
     assert choice.allowed("svc", entries, order, None) == {"v2", "v3"}
     status = _status(ROLLED_BACK, "v3")
     assert choice.allowed("svc", entries, order, status) == {"v2"}
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+def test_version_that_states_no_start_is_not_the_oldest(is_first):
+    """Guards against an entry of another writer that hides the servers.
+
+    Without `born` it counted as the oldest entry, and its version as the one
+    in use.
+    """
+    choice = version_choice.VersionChoice()
+    foreign = attrs.evolve(_entries(("v0",))[0], born_ms=None)
+    entries = [foreign, *_entries(OLD)]
+    if not is_first:
+        entries.reverse()
+    assert choice.allowed("svc", entries, None, None) == {"v1"}
+
+
+def test_version_without_a_start_is_in_use_where_no_other_is():
+    choice = version_choice.VersionChoice()
+    entries = [attrs.evolve(item, born_ms=None) for item in _entries(OLD)]
+    assert choice.allowed("svc", entries, None, None) == {"v1"}
