Count requests that a copy overtook as evidence of a slow version

Safe requests that are late are sent to the old version too, which answers first; the cancelled request left no evidence. Before, routes with answers of a millisecond had shown it by accident.

Ruled out: too few answers (40), the comparison by route.

Overtaken requests count as failures of their version, and few failures are judged by their exact chance, so that this takes no good version back.

--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -123,6 +123,31 @@
                 state.trials.on_failure()
         return dispatch
 
+    def on_overtaken(
+        self, backend: backend_table.Backend, load_test: int | None
+    ) -> None:
+        """Counts a request whose copy was answered sooner by another server.
+
+        Its duration stays unknown, so it counts as a failure of its version;
+        without that, a slow version would be judged by its fast answers only.
+
+        Args:
+            backend: The server that the request was sent to first.
+            load_test: Number of the load test that the request is part of, or
+                None.
+        """
+        job = self._job
+        trial = self._state.trials.trial(job.service)
+        if trial is None:
+            return
+        is_new = backend.entry.version == trial.order.target_version
+        if is_new and load_test not in (None, version_trial.TAKEOVER):
+            # A busy server may be slower without being faulty.
+            return
+        trial.on_answer(
+            job.rule.name, is_new=is_new, failed=True, duration_s=0.0
+        )
+
     def _outbound_request(
         self, backend: backend_table.Backend
     ) -> backend_link.OutboundRequest:
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -259,7 +259,8 @@
                 return await self._send(backend)
             finally:
                 self._state.placer.on_finished(backend)
-        tasks = {self._start_sending(backend)}
+        first = self._start_sending(backend)
+        tasks = {first}
         hedge_s = job.rule.target_latency_s * _HEDGE_DELAY_SHARE
         try:
             hedge_backend = None
@@ -270,7 +271,10 @@
                 hedge_backend = await self._find_hedge_backend()
                 hedge_s = _HEDGE_RETRY_S
             tasks.add(self._start_sending(hedge_backend))
-            return await _first_answer(tasks)
+            result = await _first_answer(tasks)
+            if not first.done():
+                self._dispatcher.on_overtaken(backend, self._load_test)
+            return result
         finally:
             for task in tasks:
                 task.cancel()
--- a/packages/entry/tests/test_rollouts.py
+++ b/packages/entry/tests/test_rollouts.py
@@ -297,3 +297,38 @@
     statuses, runs = await _count_runs(site, [new], 20)
     assert statuses == [200] * 20
     assert runs == 0
+
+
+@pytest.mark.parametrize(
+    ("work_s", "state"), [(0.9, "rolled_back"), (0.005, "running")]
+)
+async def test_version_that_is_overtaken_by_hedges_is_slow(site, work_s, state):
+    """Guards against a slow version that is judged by its fast answers only.
+
+    The old version answers the copies of its requests first, so the slow
+    answers never arrive.
+    """
+    old = await site.add_backend("old1")
+    old.slots = 64
+    instance = await site.add_instance()
+    await site.ready()
+    new = await site.add_backend("new1", version="v2")
+    new.slots = 64
+    order = {"service": "svc", "target-version": "v2", "duration": "20s"}
+    site.store.put("keyed.op", "rollout/svc", json.dumps(order).encode())
+    await site.until(lambda: instance._trials.trial("svc") is not None)
+    instance._state.try_retry = lambda *_: True
+    new.work_s = work_s
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + 7.0
+    pending = []
+    number = 0
+    while _states(site)[-1:] != ["rolled_back"] and loop.time() < end_s:
+        number += 1
+        pending.append(
+            asyncio.ensure_future(site.request(request_id=f"h{number}"))
+        )
+        await asyncio.sleep(0.01)
+    answers = await asyncio.gather(*pending)
+    assert {status for status, _, _ in answers} == {200}
+    assert _states(site)[-1] == state
--- a/packages/policy/src/magnoliacrank/policy/version_trial.py
+++ b/packages/policy/src/magnoliacrank/policy/version_trial.py
@@ -84,6 +84,10 @@
 """Share of failures below which a version is not found faulty: a failing server
 or an answer lost on the network may cause as many."""
 
+_MANY_FAILURES = 100.0
+"""Expected failures from which on their number is about normally distributed.
+"""
+
 _MIN_EXPECTED_FAILURE_SHARE = 0.01
 """Least share of failures that is expected of any version."""
 
@@ -219,12 +223,32 @@
     new = sum_up(pairs).new
     if new.failures < _MIN_FAILURES or new.failure_share < _MIN_FAILURE_SHARE:
         return False
-    expected = variance = 0.0
-    for pair in pairs:
-        share = max(pair.old.failure_share, _MIN_EXPECTED_FAILURE_SHARE)
-        expected += share * pair.new.answers
-        variance += share * pair.new.answers * (1 - min(share, 0.9))
-    return new.failures > expected + deviations * math.sqrt(variance)
+    expected = sum(
+        pair.new.answers
+        * max(pair.old.failure_share, _MIN_EXPECTED_FAILURE_SHARE)
+        for pair in pairs
+    )
+    if expected > _MANY_FAILURES:
+        return new.failures > expected + deviations * math.sqrt(expected)
+    return _poisson_tail(new.failures, expected) < _normal_tail(deviations)
+
+
+def _poisson_tail(count: int, mean: float) -> float:
+    """Returns the chance of at least a number of rare events.
+
+    Few failures are far from normally distributed, and are judged early.
+    """
+    term = math.exp(-mean)
+    below = 0.0
+    for number in range(count):
+        below += term
+        term *= mean / (number + 1)
+    return max(1.0 - below, 0.0)
+
+
+def _normal_tail(deviations: float) -> float:
+    """Returns the chance of exceeding a mean by some standard deviations."""
+    return 0.5 * math.erfc(deviations / math.sqrt(2.0))
 
 
 def _is_slow(pairs: Sequence[EvidencePair]) -> bool:
--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -411,6 +411,10 @@
         ((1000, 4), (60, 6), True),
         ((200, 60), (20, 8), False),
         ((0, 0), (8, 5), True),
+        # Incident inc-bcc1 on cirelis-routes: a good version was taken back.
+        ((584, 8), (51, 5), False),
+        ((20_000, 2000), (20_000, 2100), False),
+        ((20_000, 2000), (20_000, 2900), True),
     ],
 )
 def test_failures_beyond_chance_are_a_fault(old, new, is_faulty):
