Count exceptions that end tasks

A loop that follows the store and ends by an exception is started again with a log line and a delay; the metric task_failures counts it, so that an operator sees it without the log. Shares of trials are private to their module.

--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -18,6 +18,7 @@
 from magnoliacrank.entry import event_log
 from magnoliacrank.entry import heartbeat
 from magnoliacrank.entry import heartbeat_link
+from magnoliacrank.entry import owned_task
 from magnoliacrank.entry import peer_fetcher
 from magnoliacrank.entry import placer
 from magnoliacrank.entry import rollout_controller
@@ -392,6 +393,10 @@
             "connections_opened", lambda: self._table.connections_opened
         )
         metrics.add_gauge("log_lines_dropped", lambda: self.log.dropped_lines)
+        metrics.add_gauge(
+            "task_failures",
+            lambda: self.log.warning_count(owned_task.FAILURE_EVENT),
+        )
         metrics.add_gauge("read_errors", lambda: self._reader.read_errors)
         metrics.add_gauge(
             "unreadable_records", lambda: self._view.unreadable_records
--- a/packages/entry/src/magnoliacrank/entry/event_log.py
+++ b/packages/entry/src/magnoliacrank/entry/event_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging as stdlib_logging
 from logging import handlers
 import queue
@@ -64,6 +65,7 @@
         self._second = 0
         self._written = 0
         self._suppressed = 0
+        self._warnings: collections.Counter[str] = collections.Counter()
 
     @property
     def dropped_lines(self) -> int:
@@ -111,8 +113,13 @@
             name: Name of the event.
             fields: Further fields of the line.
         """
+        self._warnings[name] += 1
         logging.warning(name, extra={**self._common, **fields})
 
+    def warning_count(self, name: str) -> int:
+        """Returns how many warnings of a name were logged or dropped."""
+        return self._warnings[name]
+
     def request(self, name: str, request_id: str, **fields: Any) -> None:
         """Logs an event of one request, subject to the rate limit.
 
--- a/packages/entry/src/magnoliacrank/entry/owned_task.py
+++ b/packages/entry/src/magnoliacrank/entry/owned_task.py
@@ -13,6 +13,9 @@
 
     from magnoliacrank.entry import event_log
 
+FAILURE_EVENT = "task failed"
+"""Name of the log line about an exception that ended a task."""
+
 _RESTART_DELAY_S = 0.5
 """Delay before a failed loop is restarted; limits the rate of log lines."""
 
@@ -82,7 +85,7 @@
     error: BaseException, name: str, log: event_log.EventLog
 ) -> None:
     log.warning(
-        "task failed",
+        FAILURE_EVENT,
         task=name,
         error=repr(error),
         stack="".join(traceback.format_tb(error.__traceback__)),
--- a/packages/entry/tests/test_owned_task.py
+++ b/packages/entry/tests/test_owned_task.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from magnoliacrank.entry import event_log
 from magnoliacrank.entry import owned_task
 from magnoliacrank.standins import virtual_time
 
@@ -45,6 +46,21 @@
     assert all(later > first for first, later in itertools.pairwise(runs))
 
 
+async def test_failures_of_loops_are_counted():
+    log = event_log.EventLog("n", "a", lambda: 0.0)
+    runs = []
+
+    async def run():
+        runs.append(1)
+        raise ValueError
+
+    task = owned_task.spawn_loop(run, "reader", log)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0.01)
+    await owned_task.stop(task)
+    assert log.warning_count(owned_task.FAILURE_EVENT) == len(runs) == 1
+
+
 async def test_finished_loop_ends_without_a_log_line():
     log = Log()
 
--- a/packages/policy/src/magnoliacrank/policy/version_trial.py
+++ b/packages/policy/src/magnoliacrank/policy/version_trial.py
@@ -27,14 +27,14 @@
 
     from magnoliacrank.model import orders
 
-SPREAD_SHARE = 0.4
+_SPREAD_SHARE = 0.4
 """Part of the operators' exposure share that a trial uses for requests that
 are spread over its duration."""
 
 _SPREAD_SLACK_SHARE = 0.35
 """Part of the operators' exposure slack that these requests may use."""
 
-LOAD_TEST_SHARE = 0.15
+_LOAD_TEST_SHARE = 0.15
 """Part of the operators' exposure share that a trial uses for load tests."""
 
 _LOAD_TEST_SLACK_SHARE = 0.4
@@ -301,9 +301,9 @@
         self._order = order
         self._order_offset = order_offset
         self._started_s = started_s
-        self._spread_share = exposure_share * SPREAD_SHARE
+        self._spread_share = exposure_share * _SPREAD_SHARE
         self._spread_slack = exposure_slack * _SPREAD_SLACK_SHARE
-        self._load_test_share = exposure_share * LOAD_TEST_SHARE
+        self._load_test_share = exposure_share * _LOAD_TEST_SHARE
         self._load_test_slack = exposure_slack * _LOAD_TEST_SLACK_SHARE
         self._own_evidence: dict[str, EvidencePair] = {}
         self._own_load_evidence = [Evidence() for _ in range(TAKEOVER + 1)]
