Say once what several decoders and the trial said twice

One tuple of exceptions for malformed input, in platform/wire_values, instead of three; SiteView refuses unreadable records in one place; heartbeats are checked through their own properties. Whether time ran out is a field of a dispatch's result, not read from its log code. A trial that is known to be faulty evaluates nothing, and asks for its phase once per request. No behaviour changes.

--- a/packages/entry/src/magnoliacrank/entry/dispatch.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatch.py
@@ -13,6 +13,8 @@
 
 FailureKind = exchange_failure.FailureKind
 
+_GATEWAY_TIMEOUT = 504
+
 _NOT_SENT = frozenset(
     {
         FailureKind.CONNECT_FAILED,
@@ -53,6 +55,9 @@
     answer: backend_link.WholeAnswer | None = None
     """The server's answer; set for `ANSWERED` and `FAILED`."""
 
+    is_timeout: bool = False
+    """Whether time ran out, here or at the server, which said so."""
+
 
 def classify(
     outcome: backend_link.WholeAnswer | exchange_failure.ExchangeFailure,
@@ -65,7 +70,11 @@
     if isinstance(outcome, exchange_failure.ExchangeFailure):
         if outcome.kind in _NOT_SENT:
             return DispatchResult(Verdict.NOT_RUN, outcome.kind.value)
-        return DispatchResult(Verdict.MAY_HAVE_RUN, outcome.kind.value)
+        return DispatchResult(
+            Verdict.MAY_HAVE_RUN,
+            outcome.kind.value,
+            is_timeout=outcome.kind is FailureKind.TIMEOUT,
+        )
     status, headers = outcome.status, outcome.headers
     if request_wire.is_not_executed(status, headers):
         return DispatchResult(Verdict.NOT_RUN, "server-refused")
@@ -79,7 +88,12 @@
         # re-encoded.
         return DispatchResult(Verdict.MAY_HAVE_RUN, f"status-{status}-unstated")
     if status >= 500:
-        return DispatchResult(Verdict.FAILED, f"status-{status}", outcome)
+        return DispatchResult(
+            Verdict.FAILED,
+            f"status-{status}",
+            outcome,
+            is_timeout=status == _GATEWAY_TIMEOUT,
+        )
     return DispatchResult(Verdict.ANSWERED, f"status-{status}", outcome)
 
 
--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -31,9 +31,6 @@
 _CRASH_FAILURES = frozenset({FailureKind.CONNECTION_LOST})
 """Failures that count as a possible crash of the server by the request."""
 
-_TIMEOUT_REASONS = frozenset({"status-504", FailureKind.TIMEOUT.value})
-"""Reasons of dispatches whose time ran out, at the server or here."""
-
 _OUTCOMES = {
     Verdict.ANSWERED: Outcome.SUCCEEDED,
     Verdict.FAILED: Outcome.FAILED,
@@ -107,17 +104,14 @@
         duration_s = self._clock() - sent_s
         self._record_result(backend, dispatch, duration_s, choice, outcome)
         if trial is not None and dispatch.verdict is not Verdict.NOT_RUN:
-            is_busy = version_trial.is_busy(choice.busy + 1, entry.slots)
-            if not is_new:
-                load_test = None
             _add_trial_evidence(
                 trial,
                 job.rule.name,
                 dispatch,
                 duration_s,
                 is_new=is_new,
-                load_test=load_test,
-                is_busy=is_busy,
+                load_test=load_test if is_new else None,
+                is_busy=version_trial.is_busy(choice.busy + 1, entry.slots),
             )
             if is_new and dispatch.verdict is not Verdict.ANSWERED:
                 state.trials.on_failure()
@@ -249,7 +243,7 @@
     failed = dispatch.verdict is not Verdict.ANSWERED
     is_takeover = load_test == version_trial.TAKEOVER
     if load_test is not None and (is_busy or is_takeover):
-        if dispatch.reason not in _TIMEOUT_REASONS:
+        if not dispatch.is_timeout:
             trial.on_load_test_answer(load_test, failed=failed)
         if not is_takeover:
             return
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -162,8 +162,8 @@
 def _is_plausible(message: Message) -> bool:
     """Whether the addresses and floating-point values can be used."""
     if isinstance(message, InstanceList):
-        return all(_is_plausible_sender(row) for row in message.rows)
-    return _is_plausible_sender(message.sender) and all(
+        return all(map(_is_plausible_sender, message.facts))
+    return _is_plausible_sender(message.fact) and all(
         0 <= duration_s < math.inf
         for report in message.trials
         for row in report.rows
@@ -171,6 +171,5 @@
     )
 
 
-def _is_plausible_sender(row: SenderRow) -> bool:
-    fact = peer_status.PeerStatus(*row)
+def _is_plausible_sender(fact: peer_status.PeerStatus) -> bool:
     return wire_values.is_ip_address(fact.ip) and 0 <= fact.capacity < math.inf
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -240,11 +240,8 @@
         try:
             plan = operator_wire.decode_configuration(record.value)
         except wire_values.WireValueError as error:
-            self._unreadable_records += 1
-            self._log.warning(
-                "configuration unreadable",
-                offset=record.offset,
-                reason=str(error),
+            self._refuse(
+                "configuration unreadable", error, offset=record.offset
             )
             return
         if self._plan is not None and plan.version <= self._plan.version:
@@ -263,10 +260,7 @@
         try:
             order = operator_wire.decode_rollout(service, record.value)
         except wire_values.WireValueError as error:
-            self._unreadable_records += 1
-            self._log.warning(
-                "rollout order unreadable", service=service, reason=str(error)
-            )
+            self._refuse("rollout order unreadable", error, service=service)
             return
         before = self._orders.get(service)
         status = self._statuses.get(service)
@@ -345,14 +339,16 @@
         try:
             return backend_wire.decode_entry(record.key, record.value)
         except wire_values.WireValueError as error:
-            self._unreadable_records += 1
-            self._log.warning(
-                "server entry unreadable",
-                server=record.key,
-                reason=str(error),
-            )
+            self._refuse("server entry unreadable", error, server=record.key)
             return None
 
+    def _refuse(
+        self, event: str, error: wire_values.WireValueError, **fields: object
+    ) -> None:
+        """Counts and logs a record that is unreadable."""
+        self._unreadable_records += 1
+        self._log.warning(event, **fields, reason=str(error))
+
     def _notify_backend_gone(self, server_id: str) -> None:
         for listener in self._listeners:
             listener.on_backend_gone(server_id)
--- a/packages/gateway/src/magnoliacrank/gateway/key_transfer.py
+++ b/packages/gateway/src/magnoliacrank/gateway/key_transfer.py
@@ -13,6 +13,7 @@
 
 from magnoliacrank.peers import errors
 from magnoliacrank.peers.wire import peer_pb2
+from magnoliacrank.platform import wire_values
 from magnoliacrank.policy import key_handover
 from magnoliacrank.policy import slot_messages
 
@@ -94,7 +95,7 @@
             handed_over = msgspec.msgpack.decode(
                 payload.body, type=key_handover.HandedOverKey
             )
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except wire_values.MALFORMED_ERRORS as error:
             logging.warning(
                 "keys: Key handed over by %s can't be decoded: %s.",
                 sender.instance_id,
--- a/packages/peers/src/magnoliacrank/peers/messenger.py
+++ b/packages/peers/src/magnoliacrank/peers/messenger.py
@@ -16,6 +16,7 @@
 from magnoliacrank.peers import errors
 from magnoliacrank.peers import server
 from magnoliacrank.peers.wire import peer_pb2
+from magnoliacrank.platform import wire_values
 
 if TYPE_CHECKING:
     from magnoliacrank.model import ids
@@ -194,7 +195,7 @@
                 message = msgspec.msgpack.decode(
                     payload.body, type=registration.message_type
                 )
-            except (msgspec.MsgspecError, RecursionError) as error:
+            except wire_values.MALFORMED_ERRORS as error:
                 self._count_unreadable(sender, payload, str(error))
                 continue
             self.counts.received += 1
--- a/packages/policy/src/magnoliacrank/policy/version_trial.py
+++ b/packages/policy/src/magnoliacrank/policy/version_trial.py
@@ -359,8 +359,10 @@
         Args:
             now_s: Current monotonic time in seconds.
         """
+        if self._is_faulty:
+            return TrialPhase.FAULTY
         findings = self._evaluate()
-        if self._is_faulty or findings.shows_fault:
+        if findings.shows_fault:
             self._is_faulty = True
             return TrialPhase.FAULTY
         ready_s = self.deadline_s - _DEADLINE_MARGIN_S
@@ -388,6 +390,9 @@
         """
         if self.gets_all_requests(now_s):
             return TAKEOVER
+        return self._scheduled_load_test(now_s)
+
+    def _scheduled_load_test(self, now_s: float) -> int | None:
         part = self._elapsed_part(now_s)
         for number, start in enumerate(_LOAD_TESTS):
             if start <= part < start + _LOAD_TEST_LENGTH:
@@ -419,7 +424,7 @@
         phase = self.phase(now_s)
         if phase is not TrialPhase.TRYING:
             return phase is not TrialPhase.FAULTY
-        test = self.load_test(now_s)
+        test = self._scheduled_load_test(now_s)
         self._is_testing_load = test is not None
         if test is None:
             budget = self._spread_budget(now_s, instances)
@@ -537,18 +542,15 @@
         """Evaluates the evidence, unless it is the same as before."""
         if self._findings is not None:
             return self._findings
-        routes = self.by_route()
+        routes = list(self.by_route().values())
         tests = self.by_load_test()
-        total = sum_up(routes.values())
         self._findings = _Findings(
-            successes=total.new.successes + _sum(tests[:TAKEOVER]).successes,
-            shows_fault=is_faulty_in_sum(
-                list(routes.values()), _FAILURE_DEVIATIONS
-            )
-            or _shows_fault_under_load(list(routes.values()), tests)
+            successes=sum_up(routes).new.successes
+            + _sum(tests[:TAKEOVER]).successes,
+            shows_fault=is_faulty_in_sum(routes, _FAILURE_DEVIATIONS)
+            or _shows_fault_under_load(routes, tests)
             or any(
-                is_faulty(pair, _ROUTE_FAILURE_DEVIATIONS)
-                for pair in routes.values()
+                is_faulty(pair, _ROUTE_FAILURE_DEVIATIONS) for pair in routes
             ),
         )
         return self._findings
--- a/packages/state/src/magnoliacrank/state/codec.py
+++ b/packages/state/src/magnoliacrank/state/codec.py
@@ -5,13 +5,10 @@
 import attrs
 import msgspec
 
+from magnoliacrank.platform import wire_values
 from magnoliacrank.state import log_state
 from magnoliacrank.state import records
 
-_MALFORMED_ERRORS = (ValueError, RecursionError)
-"""Exceptions of msgspec for malformed input; input that is nested too deeply
-raises `RecursionError`, which isn't a `ValueError`."""
-
 _TYPE_BY_KIND: dict[str, type[records.Record]] = {
     "edit": records.EditRecord,
     "crew": records.CrewRecord,
@@ -85,14 +82,14 @@
     """
     try:
         envelope = _ENVELOPE_DECODER.decode(data)
-    except _MALFORMED_ERRORS as error:
+    except wire_values.MALFORMED_ERRORS as error:
         raise CorruptRecordError(str(error)) from error
     decoder = _BODY_DECODERS.get(envelope.kind)
     if decoder is None:
         raise UnknownKindError(envelope.kind)
     try:
         record = decoder.decode(envelope.body)
-    except _MALFORMED_ERRORS as error:
+    except wire_values.MALFORMED_ERRORS as error:
         raise CorruptRecordError(str(error)) from error
     return records.Entry(envelope.id, record, envelope.fence)
 
@@ -110,5 +107,5 @@
     """
     try:
         return _STATE_DECODER.decode(data)
-    except _MALFORMED_ERRORS as error:
+    except wire_values.MALFORMED_ERRORS as error:
         raise CorruptRecordError(str(error)) from error
