Share the server that breaks off in its head between both engines

The test of each engine had a server and a table of its own; both now play the union, 108 cases each, which passed on as well. Set-up of the roll-out tests that stood twice is a function; their assertions are unchanged.

--- a/packages/entry/tests/test_known_failures.py
+++ b/packages/entry/tests/test_known_failures.py
@@ -14,6 +14,7 @@
 from magnoliacrank.entry import backend_link
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import outbound_head
+from magnoliacrank.standins import cut_server
 from magnoliacrank.standins import platform_backend
 
 Fault = platform_backend.BackendFault
@@ -209,38 +210,15 @@
     await server.close()
 
 
-_CUT_HEADS = {
-    "nothing": b"",
-    "version": b"HTTP/1.",
-    "status": b"HTTP/1.1 20",
-    "status line": b"HTTP/1.1 200 OK\r\n",
-    "name": b"HTTP/1.1 200 OK\r\nContent-Le",
-    "digits": b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 12",
-    "header": b"HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n",
-    "line end": b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r",
-    "no length": b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n",
-}
-
-
 @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
-@pytest.mark.parametrize("ending", ["close", "reset", "silence"])
-@pytest.mark.parametrize("cut", _CUT_HEADS.values(), ids=_CUT_HEADS)
+@pytest.mark.parametrize("ending", cut_server.Ending)
+@pytest.mark.parametrize(
+    "cut", cut_server.CUT_HEADS.values(), ids=cut_server.CUT_HEADS
+)
 async def test_answer_cut_off_in_its_head_is_a_failure(cut, ending, method):
     """Guards against a success with an empty or short body."""
-
-    async def serve(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(cut)
-        if ending == "silence":
-            await reader.read()
-        elif ending == "reset":
-            await writer.drain()
-            writer.transport.abort()
-        writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    link = backend_link.BackendLink("127.0.0.1", port)
+    server = cut_server.CutServer(cut, ending)
+    link = backend_link.BackendLink("127.0.0.1", await server.start())
     head = outbound_head.OutboundHead(method, "/", [("Host", "h")])
     found = await link.exchange(
         backend_link.OutboundRequest(head, b"", "r1"), 0.2
@@ -248,7 +226,7 @@
     assert isinstance(found, exchange_failure.ExchangeFailure)
     assert found.kind in (FailureKind.CONNECTION_LOST, FailureKind.TIMEOUT)
     link.close()
-    server.close()
+    await server.close()
 
 
 @pytest.mark.parametrize("fault", [Fault.LOSE, Fault.UNSTATED, Fault.UNSIGNED])
--- a/packages/entry/tests/test_rollouts.py
+++ b/packages/entry/tests/test_rollouts.py
@@ -204,6 +204,40 @@
         site.store.delete("keyed.servers", backend.server_id)
 
 
+async def _start_trial(site):
+    """Returns the old server, the new one, and an instance with a trial."""
+    old = await site.add_backend("old1")
+    instance = await site.add_instance()
+    await site.ready()
+    new = await site.add_backend("new1", version="v2")
+    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
+    await site.until(lambda: instance._trials.trial("svc") is not None)
+    await site.until(lambda: instance._view.entry("new1") is not None)
+    return old, new, instance
+
+
+async def _roll_back(site, instance):
+    instance._trials.trial("svc").mark_faulty()
+    await site.until(lambda: _states(site)[-1:] == ["rolled_back"])
+
+
+async def _expire_in_outage(site, expired, returned=()):
+    """Takes the store down until all entries have expired.
+
+    Args:
+        site: The site.
+        expired: Servers whose entries expire.
+        returned: Servers whose entries are back before the store.
+    """
+    site.store.fault = platform_store.Fault.BUSY
+    await site.until(lambda: "store lost" in site.logs[0].names())
+    await asyncio.sleep(1.0)
+    _expire(site, *expired)
+    for backend in returned:
+        site.register(backend)
+    site.store.fault = platform_store.Fault.NONE
+
+
 async def _count_runs(site, servers, requests, number=1):
     """Sends requests; returns the statuses and the runs of the servers."""
     before = sum(len(server.runs) for server in servers)
@@ -225,21 +259,10 @@
     All entries expire in an outage of the store, and those of the new version
     are written again first.
     """
-    old = await site.add_backend("old1")
-    instance = await site.add_instance()
-    await site.ready()
-    new = await site.add_backend("new1", version="v2")
-    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
-    await site.until(lambda: instance._trials.trial("svc") is not None)
+    old, new, instance = await _start_trial(site)
     if is_rolled_back:
-        instance._trials.trial("svc").mark_faulty()
-        await site.until(lambda: _states(site)[-1:] == ["rolled_back"])
-    site.store.fault = platform_store.Fault.BUSY
-    await site.until(lambda: "store lost" in site.logs[0].names())
-    await asyncio.sleep(1.0)
-    _expire(site, old, new)
-    site.register(new)
-    site.store.fault = platform_store.Fault.NONE
+        await _roll_back(site, instance)
+    await _expire_in_outage(site, [old, new], returned=[new])
     await site.until(
         lambda: instance._view.entry("old1") is None, timeout_s=8.0
     )
@@ -277,20 +300,9 @@
 
 async def test_retained_server_of_a_version_taken_back_gets_nothing(site):
     """Its entry expired in the outage, and the rollback came before it."""
-    old = await site.add_backend("old1")
-    instance = await site.add_instance()
-    await site.ready()
-    new = await site.add_backend("new1", version="v2")
-    site.store.put("keyed.op", "rollout/svc", json.dumps(ORDER).encode())
-    await site.until(lambda: instance._trials.trial("svc") is not None)
-    await site.until(lambda: instance._view.entry("new1") is not None)
-    instance._trials.trial("svc").mark_faulty()
-    await site.until(lambda: _states(site)[-1:] == ["rolled_back"])
-    site.store.fault = platform_store.Fault.BUSY
-    await site.until(lambda: "store lost" in site.logs[0].names())
-    await asyncio.sleep(1.0)
-    _expire(site, old, new)
-    site.store.fault = platform_store.Fault.NONE
+    old, new, instance = await _start_trial(site)
+    await _roll_back(site, instance)
+    await _expire_in_outage(site, [old, new])
     await site.until(
         lambda: instance._view.entry("new1") is None, timeout_s=8.0
     )
--- a/packages/gateway/tests/test_server_pool.py
+++ b/packages/gateway/tests/test_server_pool.py
@@ -18,6 +18,7 @@
 from magnoliacrank.model import verdict as verdicts
 from magnoliacrank.standins import backend_server
 from magnoliacrank.standins import backend_server_settings
+from magnoliacrank.standins import cut_server
 
 Kind = exchange_failure.FailureKind
 
@@ -384,42 +385,20 @@
         assert await _get(pool, needs_live=True) == b"c1"
 
 
-CUT_HEADS = {
-    "nothing": b"",
-    "version": b"HTTP/1.",
-    "status": b"HTTP/1.1 20",
-    "status line": b"HTTP/1.1 200 OK\r\n",
-    "name": b"HTTP/1.1 200 OK\r\nContent-Le",
-    "digits": b"HTTP/1.1 200 OK\r\nContent-Length: 12",
-    "header": b"HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n",
-    "line end": b"HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r",
-    "coding": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
-}
-
-
 @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
-@pytest.mark.parametrize("ending", ["close", "reset", "silence"])
-@pytest.mark.parametrize("cut", CUT_HEADS.values(), ids=CUT_HEADS)
+@pytest.mark.parametrize("ending", cut_server.Ending)
+@pytest.mark.parametrize(
+    "cut", cut_server.CUT_HEADS.values(), ids=cut_server.CUT_HEADS
+)
 async def test_answer_cut_off_in_its_head_is_no_answer(cut, ending, method):
     """Guards against a success with an empty or short body."""
-
-    async def serve(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(cut)
-        if ending == "silence":
-            await reader.read()
-        elif ending == "reset":
-            await writer.drain()
-            writer.transport.abort()
-        writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    async with _pool_of(server.sockets[0].getsockname()[1]) as pool:
+    server = cut_server.CutServer(cut, ending)
+    async with _pool_of(await server.start()) as pool:
         result = await _get(pool, _head(method), seconds=0.2)
         assert isinstance(result, exchange_failure.ExchangeFailure)
         assert result.kind in (Kind.CONNECTION_LOST, Kind.TIMEOUT)
         assert pool.open_count == 0
-    server.close()
+    await server.close()
 
 
 async def test_full_pool_refuses_at_once_as_not_run():
