Report the load of each service in heartbeats, and name requests' customers

Cause: decisions at a shortage need what this instance doesn't know: how much is asked of a service elsewhere, how late another clock is, and whether the store has returned from an older copy. None of the three was sent.

Heartbeats (format 5) carry the sender's time, the newest era of the store that it knows, and for each service with requests the rates of arrivals, placements and rejections. Jobs and placement requests name their customer and their own priority. Nothing decides by these values yet.

Ruled out: rates in the instances' announcements in the store, since each write is priced and older than a second when it is read.

--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -183,6 +183,8 @@
             request_id=headers.get(request_wire.REQUEST_ID, ""),
             rule=rule,
             service=self._state.choose_service(rule),
+            customer="",
+            priority=rule.priority,
             method=exchange.method,
             target=exchange.target,
             headers=tuple(_REQUEST_HEADER_FILTER.apply(headers)),
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -278,6 +278,11 @@
             trials=self._trials.reports(),
             crashes=self._state.crashes.recent_own_counts(now_s),
             blocked=self._state.crashes.blocked(now_s),
+            time_ms=time.time_ns() // 1_000_000,
+            store_era=self._store.era or 0,
+            loads=[
+                attrs.astuple(load) for load in self._state.own_loads(now_s)
+            ],
         )
 
     def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
@@ -286,6 +291,9 @@
         fact = beat.fact
         self._reader.on_heartbeat(fact, beat)
         self._trials.on_heartbeat(fact, beat)
+        self._state.peer_loads.on_report(
+            fact.node, fact.data_centre, beat.service_loads, now_s
+        )
         self._state.crashes.update_peer_counts(fact.node, beat.crashes, now_s)
         if self._roster.is_follower(now_s):
             self._state.crashes.apply_peer_blocks(beat.blocked, now_s)
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -6,6 +6,7 @@
 
 from magnoliacrank.policy import crash_register
 from magnoliacrank.policy import repeat_budget
+from magnoliacrank.policy import service_load
 from magnoliacrank.policy import stated_timeouts
 from magnoliacrank.policy import weighted_round_robin
 
@@ -65,6 +66,8 @@
         self.trials = trials
         self.crashes = crash_register.CrashRegister()
         self.highest_priority = 0
+        self.load_meter = service_load.ServiceLoadMeter()
+        self.peer_loads = service_load.ServiceLoadRegister()
         self._bounds = bounds
         self._rng = rng
         self._started_s = clock()
@@ -74,6 +77,20 @@
         self._timeouts: dict[str, stated_timeouts.StatedTimeouts] = {}
         self._cursors: dict[str, weighted_round_robin.WeightedRoundRobin] = {}
 
+    def own_loads(self, now_s: float) -> list[service_load.ServiceLoad]:
+        """Returns the loads of the services that have requests here.
+
+        Args:
+            now_s: Clock time in seconds.
+        """
+        loads = (
+            self.load_meter.load(
+                service, self.placer.queue(service).length, now_s
+            )
+            for service in self.load_meter.services()
+        )
+        return [load for load in loads if load.demand_per_s or load.waiting]
+
     def allowance(self, service: str) -> repeat_budget.RepeatBudget:
         """Returns the retry budget of a service, created on first use."""
         allowance = self._repeat_budgets.get(service)
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -10,8 +10,9 @@
 
 from magnoliacrank.platform import wire_values
 from magnoliacrank.policy import peer_status
+from magnoliacrank.policy import service_load
 
-FORMAT = 4
+FORMAT = 5
 """Version of the message format; messages of other versions are ignored."""
 
 SenderRow = tuple[str, str, str, int, bool, bool, bool, float]
@@ -28,6 +29,10 @@
 in seconds, first of the old version, then of the new one."""
 
 
+ServiceLoadRow = tuple[str, float, float, float, float, Count, Count]
+"""Fields of `service_load.ServiceLoad`, in the order of their definition."""
+
+
 RolloutStateName = Literal["running", "completed", "rolled_back"]
 """Value of `orders.RolloutState`."""
 
@@ -105,6 +110,20 @@
     """Fingerprints of requests that are refused because they crash servers;
     followers adopt them."""
 
+    time_ms: Count
+    """Unix time in milliseconds by the sender's clock."""
+
+    store_era: Count
+    """Newest era of the store that the sender knows; 0 for none."""
+
+    loads: list[ServiceLoadRow]
+    """Load of each service that the sender has requests for."""
+
+    @property
+    def service_loads(self) -> list[service_load.ServiceLoad]:
+        """Load of each service that the sender has requests for."""
+        return [service_load.ServiceLoad(*row) for row in self.loads]
+
     @property
     def fact(self) -> peer_status.PeerStatus:
         """Identity and state of the sender."""
--- a/packages/entry/src/magnoliacrank/entry/job.py
+++ b/packages/entry/src/magnoliacrank/entry/job.py
@@ -21,6 +21,12 @@
     service: str
     """Name of the service that executes the request."""
 
+    customer: str
+    """Name of the customer that the caller belongs to; empty if unknown."""
+
+    priority: int
+    """Priority of the request; 0 is the most urgent."""
+
     method: str
     """HTTP method."""
 
--- a/packages/entry/src/magnoliacrank/entry/placement_request.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -36,6 +36,9 @@
     service: str
     """Name of the service that executes the request."""
 
+    customer: str
+    """Name of the customer that the caller belongs to; empty if unknown."""
+
     priority: int
     """Priority of the request; 0 is the highest."""
 
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -104,6 +104,9 @@
         state = self._state
         allowance = state.allowance(self._job.service)
         allowance.on_request(self._clock())
+        state.load_meter.on_arrival(
+            self._job.service, state.work_s(self._job.rule), self._clock()
+        )
         self._to_new_version = self._chooses_new_version()
         while True:
             result = await self._attempt()
@@ -119,6 +122,7 @@
         found = await self._place()
         if isinstance(found, placement_requests.Rejection):
             trace.end(placing, found.reason.value)
+            self._state.load_meter.on_rejected(self._job.service, self._clock())
             if self.has_been_sent or self._refusals:
                 return self._final_result(found.retry_after_s)
             return RequestResult(
@@ -127,6 +131,7 @@
                 retry_after_s=found.retry_after_s,
             )
         trace.end(placing, "found")
+        self._state.load_meter.on_placed(self._job.service, self._clock())
         dispatch = await self._dispatch_hedged(found)
         return self._record_dispatch(dispatch)
 
@@ -164,7 +169,7 @@
 
     def _take_retry(self) -> bool:
         job = self._job
-        is_first = job.rule.priority <= self._state.highest_priority
+        is_first = job.priority <= self._state.highest_priority
         urgency = Urgency.FIRST if is_first else Urgency.NORMAL
         return self._state.try_retry(job.service, urgency)
 
@@ -230,7 +235,8 @@
         wait_deadline_s = min(wait_deadline_s, job.deadline_s - 0.5 * work_s)
         return placement_requests.PlacementRequest(
             service=job.service,
-            priority=job.rule.priority,
+            customer=job.customer,
+            priority=job.priority,
             asked_s=job.asked_s,
             wait_deadline_s=wait_deadline_s,
             may_wait=may_wait,
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -391,6 +391,8 @@
         request_id="left",
         rule=rule,
         service="svc",
+        customer="",
+        priority=rule.priority,
         method="GET",
         target="/read/1",
         headers=(("Host", HOST), ("Request-Id", "left")),
--- a/packages/entry/tests/test_odd_records.py
+++ b/packages/entry/tests/test_odd_records.py
@@ -167,6 +167,9 @@
         "trials": [],
         "crashes": {},
         "blocked": [],
+        "time_ms": 1,
+        "store_era": 1,
+        "loads": [],
         **fields,
     }
     return heartbeat.encode(heartbeat.Heartbeat(**values))
--- a/packages/entry/tests/test_wait_queue.py
+++ b/packages/entry/tests/test_wait_queue.py
@@ -11,6 +11,7 @@
     """Asks for a turn at time 0."""
     request = placement_request.PlacementRequest(
         service="svc",
+        customer="",
         priority=priority,
         asked_s=asked_s,
         wait_deadline_s=timeout_s,
--- a/packages/entry/tests/test_worst_load.py
+++ b/packages/entry/tests/test_worst_load.py
@@ -181,6 +181,7 @@
         found = await chosen.place(
             placement_request.PlacementRequest(
                 service="svc",
+                customer="",
                 priority=0,
                 asked_s=asked_s,
                 wait_deadline_s=max(objective_s - 1.2 * WORK_S, now_s + 0.06),
--- a/packages/platform/src/magnoliacrank/platform/store_client.py
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -14,6 +14,7 @@
 from magnoliacrank.platform import wire_values
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
     from collections.abc import Sequence
 
@@ -29,6 +30,10 @@
 MEMBERS_TOPIC = "keyed.magnoliacrank"
 """Topic with the addresses of instances run by `magnoliacrank instance`."""
 
+ERA_HEADER = "Store-Era"
+"""Response: number that rises by one when the store returns from an older
+copy, which lacks the newest writes."""
+
 INSTANCES_TOPIC = "keyed.entry-instances"
 """Topic with the announcements of instances run by `magnoliacrank serve`."""
 
@@ -106,12 +111,23 @@
         self._url = f"{url}/api/"
         self._session: aiohttp.ClientSession | None = None
         self._calls = 0
+        self._era: int | None = None
+        self._on_era: list[Callable[[int], None]] = []
 
     @property
     def calls(self) -> int:
         """Number of calls made so far."""
         return self._calls
 
+    @property
+    def era(self) -> int | None:
+        """Newest era that the store stated; None before the first answer."""
+        return self._era
+
+    def add_era_listener(self, listener: Callable[[int], None]) -> None:
+        """Adds a callback for answers that state a newer era than before."""
+        self._on_era.append(listener)
+
     async def start(self) -> None:
         """Opens the client; connections are made by the calls."""
         # Each call opens a new connection: a reused one may have broken
@@ -294,6 +310,7 @@
             ) as answer:
                 data = await answer.read()
                 status = answer.status
+                self._note_era(answer.headers.get(ERA_HEADER, ""))
         except aiohttp.ClientConnectorError as error:
             return StoreFailure(StoreFailureKind.REFUSED, str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -304,6 +321,16 @@
         first_offset = _decode_first_offset(data) if status == _GONE else None
         return StoreFailure(kind, f"{name} status {status}", first_offset)
 
+    def _note_era(self, text: str) -> None:
+        era = wire_values.parse_count(text.strip())
+        if era is None or (self._era is not None and era <= self._era):
+            return
+        is_newer = self._era is not None
+        self._era = era
+        if is_newer:
+            for listener in self._on_era:
+                listener(era)
+
 
 _FAILURE_KINDS = {
     _GONE: StoreFailureKind.EXPIRED,
