--- a/packages/platform/src/magnoliacrank/platform/settings_file.py
+++ b/packages/platform/src/magnoliacrank/platform/settings_file.py
@@ -13,6 +13,9 @@
 SETTINGS_VARIABLE = "MAGNOLIACRANK_CONFIG"
 """Environment variable with the path of the settings file."""
 
+_MIN_DUTY_CALLS_PER_S = 0.01
+"""Smallest rate of calls per second that the file may state."""
+
 _YAML_LOADER: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
@@ -63,6 +66,29 @@
     directory_ttl_s: float = 5.0
     """Longest time in seconds for which callers may cache addresses."""
 
+    lease_s: float = 3.0
+    """Seconds within which a duty doesn't return to a former holder."""
+
+    usage_window_s: float = 5.0
+    """Length in seconds of a window of usage reports."""
+
+    usage_late_s: float = 10.0
+    """Seconds after the end of a window until which its usage is due."""
+
+
+@attrs.frozen
+class CloudSettings:
+    """Interface of the platform that one instance at a time calls."""
+
+    address: tuple[str, int]
+    """Host and TCP port."""
+
+    duties: tuple[str, ...]
+    """Names of the duties."""
+
+    duty_calls_per_s: float
+    """Largest rate of calls per second, of all instances together."""
+
 
 @attrs.frozen
 class InstanceSettings:
@@ -110,6 +136,9 @@
     memory_mb: float = 300.0
     """Memory use beyond which the process is killed, in MB."""
 
+    cloud: CloudSettings | None = None
+    """Interface for duties; None if there are none."""
+
     @property
     def store_url(self) -> str:
         """Base URL of the platform's store."""
@@ -181,6 +210,7 @@
         heartbeat_s=read(wire_values.read_duration_s, document, "heartbeat"),
         bounds=_read_bounds(document.get("bounds"), errors),
         seeds=_read_seeds(document.get("seeds"), errors),
+        cloud=_read_cloud(document.get("cloud"), errors),
         **_read_limits(document.get("limits"), errors),
     )
     if errors:
@@ -212,6 +242,34 @@
     return tuple(found)
 
 
+def _read_cloud(fields: Any, errors: list[str]) -> CloudSettings | None:
+    """Returns the interface for duties, or None if the file has none.
+
+    Messages about malformed fields are appended to `errors`.
+    """
+    if not isinstance(fields, dict):
+        return None
+    duties = fields.get("duties")
+    try:
+        return CloudSettings(
+            address=_read_address(fields, "address"),
+            duties=tuple(map(str, duties)) if isinstance(duties, list) else (),
+            duty_calls_per_s=wire_values.read_number(
+                fields, "duty-per-s", _MIN_DUTY_CALLS_PER_S
+            ),
+        )
+    except wire_values.WireValueError as error:
+        errors.append(f"cloud {error}")
+        return None
+
+
+def _read_positive_duration_s(fields: Any, name: str) -> float:
+    seconds = wire_values.read_duration_s(fields, name)
+    if seconds <= 0:
+        raise wire_values.WireValueError(f"{name}: not longer than 0s")
+    return seconds
+
+
 _BOUND_FIELDS = {
     "drain_s": ("drain", wire_values.read_duration_s),
     "grace_s": ("grace", wire_values.read_duration_s),
@@ -224,6 +282,9 @@
     "warmup_slack": ("warmup-slack", wire_values.read_number),
     "probes_per_s": ("probes-per-s", wire_values.read_number),
     "directory_ttl_s": ("ttl_max", wire_values.read_duration_s),
+    "lease_s": ("lease_time", wire_values.read_duration_s),
+    "usage_window_s": ("usage-window", _read_positive_duration_s),
+    "usage_late_s": ("usage-late", wire_values.read_duration_s),
 }
 """Name in the file and reader of each attribute of `SafetyBounds`."""
 
--- a/packages/platform/src/magnoliacrank/platform/store_client.py
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -30,6 +30,9 @@
 MEMBERS_TOPIC = "keyed.magnoliacrank"
 """Topic with the addresses of instances run by `magnoliacrank instance`."""
 
+DUTY_TOPIC = "keyed.usage-duty"
+"""Topic of the holder of the usage duty, and of the reports to send."""
+
 ERA_HEADER = "Store-Era"
 """Response: number that rises by one when the store returns from an older
 copy, which lacks the newest writes."""
