Report the usage of customers by one instance at a time

Requests are counted by the customer and the window in which they are sent, and withdrawn if the server states that it didn't run them. Each instance sends its counts to the first two in the duty order, in the middle and at the end of a window. One of the two holds the duty: it records each report in the store under the condition of the topic's end, then sends it and repeats it byte by byte. The other checks once a window that it was recorded.

Ruled out: sending a report during an outage of the store without a record. The successor could not know its counts and might send others; the window is sent when the store is back in time, else left out.

--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -25,6 +25,7 @@
 from magnoliacrank.entry import service_handlers
 from magnoliacrank.entry import site_reader
 from magnoliacrank.entry import site_view
+from magnoliacrank.entry import usage_duty
 from magnoliacrank.gateway import answer_memory
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
@@ -140,6 +141,17 @@
             clock,
             rng,
         )
+        self._usage = usage_duty.UsageDuty(
+            settings,
+            self._incarnation,
+            self._store,
+            self._roster,
+            self._protocol.knows_mesh,
+            self._peers,
+            self.log,
+            clock,
+            rng,
+        )
         self._state = entry_state.EntryState(
             clock,
             self.log,
@@ -147,6 +159,7 @@
             self._roster,
             self._placer,
             self._trials,
+            self._usage.counter,
             bounds,
             rng,
         )
@@ -213,6 +226,7 @@
         await self._reader.start()
         await self._announcer.start()
         await self._trials.start()
+        await self._usage.start()
 
     async def _listen(
         self, server: front_server.FrontServer, address: tuple[str, int]
@@ -246,6 +260,7 @@
         await self._front.close(max(grace_s, 0.0))
         for server, _ in self._servers:
             await server.close(0.0)
+        await self._usage.close()
         await self._announcer.close()
         await self._trials.close()
         await self._reader.close()
@@ -291,6 +306,7 @@
         fact = beat.fact
         self._reader.on_heartbeat(fact, beat)
         self._trials.on_heartbeat(fact, beat)
+        self._usage.counter.on_peer_time(fact.node, beat.time_ms)
         self._state.peer_loads.on_report(
             fact.node, fact.data_centre, beat.service_loads, now_s
         )
@@ -367,6 +383,7 @@
             self._view,
             self._reader,
             self._trials,
+            self._usage,
             self._metrics,
             self._clock,
         )
@@ -400,6 +417,7 @@
         metrics.add_gauge(
             "connections_opened", lambda: self._table.connections_opened
         )
+        self._usage.add_gauges(metrics)
         metrics.add_gauge("log_lines_dropped", lambda: self.log.dropped_lines)
         metrics.add_gauge(
             "task_failures",
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -18,6 +18,7 @@
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import placer as placers
     from magnoliacrank.entry import rollout_controller
+    from magnoliacrank.entry import usage_counter
     from magnoliacrank.model import route_plan
     from magnoliacrank.platform import settings_file
     from magnoliacrank.policy import instance_roster
@@ -43,6 +44,7 @@
         roster: Membership: instances that are alive, and their crews.
         placer: Chooses backend servers.
         trials: Controller of the rollouts in progress.
+        usage: Counts the requests of customers.
         bounds: Operators' bounds on the whole system.
         rng: Random numbers for the start of weighted round robins.
     """
@@ -55,6 +57,7 @@
         roster: instance_roster.InstanceRoster,
         placer: placers.Placer,
         trials: rollout_controller.RolloutController,
+        usage: usage_counter.UsageCounter,
         bounds: settings_file.SafetyBounds,
         rng: random.Random,
     ) -> None:
@@ -64,6 +67,7 @@
         self.roster = roster
         self.placer = placer
         self.trials = trials
+        self.usage = usage
         self.crashes = crash_register.CrashRegister()
         self.highest_priority = 0
         self.load_meter = service_load.ServiceLoadMeter()
--- a/packages/entry/src/magnoliacrank/entry/peer_fetcher.py
+++ b/packages/entry/src/magnoliacrank/entry/peer_fetcher.py
@@ -1,4 +1,4 @@
-"""PeerFetcher: fetches records of the store from other instances."""
+"""PeerFetcher: fetches records from other instances, and sends messages."""
 
 from __future__ import annotations
 
@@ -15,6 +15,8 @@
 _TIMEOUT_S = 0.4
 """Timeout of a request to another instance."""
 
+_OK = 200
+
 
 class PeerFetcher:
     """HTTP client of the port between instances.
@@ -52,10 +54,7 @@
         Returns:
             The records, or None if the request failed.
         """
-        link = self._links.get(ip)
-        if link is None:
-            link = backend_link.BackendLink(ip, self._port)
-            self._links[ip] = link
+        link = self._link(ip)
         target = (
             f"{peer_records.PATH}?operators={operators_seen}"
             f"&servers={servers_seen}"
@@ -72,3 +71,35 @@
             )
             return None
         return peer_records.decode(answer.content)
+
+    async def post(self, ip: str, path: str, content: bytes) -> bool:
+        """Sends a message to another instance.
+
+        Args:
+            ip: IP address of the other instance.
+            path: Path that the message is meant for.
+            content: The message.
+
+        Returns:
+            Whether the other instance accepted it.
+        """
+        link = self._link(ip)
+        head = outbound_head.OutboundHead(
+            "POST", path, [("Host", link.authority)]
+        )
+        answer = await link.exchange(
+            backend_link.OutboundRequest(head, content, None), _TIMEOUT_S
+        )
+        if isinstance(answer, exchange_failure.ExchangeFailure):
+            self._log.warning(
+                "message not sent", peer=ip, path=path, reason=answer.kind.value
+            )
+            return False
+        return answer.status == _OK
+
+    def _link(self, ip: str) -> backend_link.BackendLink:
+        link = self._links.get(ip)
+        if link is None:
+            link = backend_link.BackendLink(ip, self._port)
+            self._links[ip] = link
+        return link
--- a/packages/entry/src/magnoliacrank/entry/service_handlers.py
+++ b/packages/entry/src/magnoliacrank/entry/service_handlers.py
@@ -6,6 +6,7 @@
 from urllib import parse
 
 from magnoliacrank.entry import peer_records
+from magnoliacrank.entry import usage_messages
 from magnoliacrank.platform import directory_wire
 from magnoliacrank.platform import wire_values
 from magnoliacrank.policy import caller_steering
@@ -17,6 +18,7 @@
     from magnoliacrank.entry import rollout_controller
     from magnoliacrank.entry import site_reader
     from magnoliacrank.entry import site_view
+    from magnoliacrank.entry import usage_duty
     from magnoliacrank.gateway import inbound_exchange
     from magnoliacrank.policy import instance_roster
 
@@ -115,12 +117,13 @@
 
 
 class PeerHandler:
-    """Serves records to other instances, and the metrics.
+    """Serves records and metrics, and receives counts of other instances.
 
     Args:
         view: Records of operators and servers.
         reader: Knows when the records were last verified to be complete.
         trials: Provides the recorded states of rollouts.
+        usage: Receives the counts of customers' requests.
         metrics: Metrics of this instance.
         clock: Returns the monotonic time in seconds.
     """
@@ -130,12 +133,14 @@
         view: site_view.SiteView,
         reader: site_reader.SiteReader,
         trials: rollout_controller.RolloutController,
+        usage: usage_duty.UsageDuty,
         metrics: entry_metrics.EntryMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._view = view
         self._reader = reader
         self._trials = trials
+        self._usage = usage
         self._encoded_changes: dict[tuple[int, int], bytes] = {}
         self._encoded_version: object = None
         self._metrics = metrics
@@ -149,6 +154,10 @@
             await exchange.answer(200, _TEXT, self._metrics.render())
         elif exchange.path == peer_records.PATH:
             await exchange.answer(200, [], self._records(exchange.target))
+        elif exchange.path == usage_messages.PATH:
+            body = await exchange.read_body(usage_messages.MAX_BYTES)
+            is_read = isinstance(body, bytes) and self._usage.on_push(body)
+            await exchange.answer(200 if is_read else 400, [], b"")
         else:
             await exchange.answer(404, [], b"")
 
