Play the usage duty under faults in virtual time

Found by them: the holder logged windows as too late that its successor had reported, since it hadn't noticed the loss yet; after a reset of the store without any record left, it reported windows which another may have reported. Both mended; the second takes the window in which the new era was seen as its limit.

--- a/packages/entry/src/magnoliacrank/entry/usage_outbox.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_outbox.py
@@ -111,13 +111,15 @@
             Whether the platform refused the fencing token, so that the duty is
             lost.
         """
-        self._drop_late()
         now_s = self._clock()
         is_due = now_s >= self._next_call_s and self._backoff.may_call(now_s)
         if not self._reports or not is_due:
             return False
         if not self._lease.may_act(now_s) and not await self._topic.renew():
             return False
+        self._drop_late()
+        if not self._reports:
+            return False
         window, content = min(self._reports.items())
         token = self._lease.token
         result = await self._client.report(
--- a/packages/entry/src/magnoliacrank/entry/usage_reporter.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_reporter.py
@@ -95,6 +95,8 @@
         self._first_known_window = 0
         self._was_holder = False
         self._kept_lease = False
+        self._era: int | None = None
+        self._era_window = 0
         self._recipient_since_s: float | None = None
         self._next_read_s = float("-inf")
         self._is_watching = False
@@ -116,6 +118,7 @@
     async def step(self) -> None:
         """Does what is due now."""
         now_s = self._clock()
+        self._check_era(now_s)
         position = self._roster.duty_order(now_s)
         is_recipient = position < usage_sender.RECIPIENTS
         if not is_recipient or not self._knows_mesh(now_s):
@@ -126,7 +129,6 @@
             self._recipient_since_s = now_s
         if self._ledger.is_empty:
             return
-        self._check_era(now_s)
         if self._lease.is_held:
             await self._record_windows()
             if await self._outbox.send_next():
@@ -150,6 +152,9 @@
 
     def _check_era(self, now_s: float) -> None:
         """Gives up the duty if the store has returned from an older copy."""
+        if self._topic.era != self._era:
+            self._era = self._topic.era
+            self._era_window = self._counter.current_window()
         if not self._lease.is_held or self._topic.era == self._lease.era:
             return
         # Without its lease, another holder may have reported windows in the
@@ -218,18 +223,19 @@
     async def _take(self) -> None:
         previous = self._lease.record
         is_known = self._kept_lease and self._lease.was_exclusive(self._clock())
-        is_reset = (
-            previous is not None
-            and previous.era != self._topic.era
-            and not is_known
+        is_reset = not is_known and (
+            previous is None or previous.era != self._topic.era
         )
         if not await self._topic.take():
             return
         current = self._counter.current_window()
         newest = self._topic.newest_window
         self._next_window = current if newest is None else newest + 1
-        # Windows before this one may have been reported without a record.
-        self._first_known_window = current if is_reset else self._next_window
+        self._first_known_window = self._next_window
+        if is_reset:
+            # Windows that had ended before the store lost its newest records
+            # may have been reported.
+            self._first_known_window = self._era_window
         self._kept_lease = False
         self._is_watching = False
         self._was_holder = True
@@ -251,7 +257,8 @@
             if not await self._topic.write_report(window, content):
                 return
         while self._lease.is_held:
-            self._skip_late_windows()
+            if not await self._skip_late_windows():
+                return
             window = self._next_window
             if window in self._topic.reports:
                 # A write without an answer was executed after all.
@@ -270,13 +277,24 @@
                 self._outbox.add(window, content)
             self._next_window = window + 1
 
-    def _skip_late_windows(self) -> None:
-        """Leaves out windows that are too late for any holder."""
+    async def _skip_late_windows(self) -> bool:
+        """Leaves out windows that are too late for any holder.
+
+        Returns:
+            Whether the next window can be considered. If not, this instance
+            can't show that it still is the holder, and another may have
+            reported those windows.
+        """
         first_due = self._window_before(self._late_s) + 1
         skipped = range(self._next_window, first_due)
-        if skipped:
-            self._outbox.on_missed(skipped[0], "too-late", len(skipped))
-            self._next_window = first_due
+        if not skipped:
+            return True
+        may_act = self._lease.may_act(self._clock())
+        if not may_act and not await self._topic.renew():
+            return False
+        self._outbox.on_missed(skipped[0], "too-late", len(skipped))
+        self._next_window = first_due
+        return True
 
     def _decide(self, window: int) -> tuple[str | None, str] | None:
         """Returns the report of a window, or why none is sent.
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -151,6 +151,7 @@
     async def add_instance(self, number=1, data_centre="a", **fields):
         front, ready, directory, peers = self._ports
         ip = f"127.0.0.{number}"
+        bounds = settings_file.SafetyBounds(grace_s=3.2)
         settings = settings_file.InstanceSettings(
             node=f"front-{number}",
             ip=ip,
@@ -161,8 +162,7 @@
             peer_port=peers,
             store=self.store.address,
             heartbeat_s=1.5,
-            bounds=settings_file.SafetyBounds(grace_s=3.2),
-            **fields,
+            **{"bounds": bounds, **fields},
         )
         log = RecordingLog()
         instance = entry_instance.EntryInstance(settings, log)
--- /dev/null
+++ b/packages/entry/tests/test_usage_duty.py
@@ -0,0 +1,490 @@
+"""The usage duty under faults, in virtual time, and once over real sockets.
+
+Each simulated instance has its own lease, counts and clock; the store and the
+platform are shared. Every window has the same counts on all instances, but a
+report built by another instance than the first would differ in the count of
+"builder", so that a window reported twice differently is seen.
+"""
+
+import asyncio
+import types
+
+import attrs
+import pytest
+
+from magnoliacrank.entry import duty_topic
+from magnoliacrank.entry import usage_counter
+from magnoliacrank.entry import usage_outbox
+from magnoliacrank.entry import usage_reporter
+from magnoliacrank.platform import settings_file
+from magnoliacrank.platform import store_client
+from magnoliacrank.platform import store_records
+from magnoliacrank.platform import usage_client
+from magnoliacrank.policy import duty_lease
+from magnoliacrank.policy import usage_windows
+from magnoliacrank.standins import usage_service
+from magnoliacrank.standins import virtual_time
+
+Fault = usage_service.UsageFault
+
+_WINDOW_S = 5.0
+_LATE_S = 10.0
+_LEASE_S = 3.0
+_START_S = 1_700_000_000.0
+_FIRST = int(_START_S / _WINDOW_S)
+
+
+class _Records:
+    """Records of the store; `reset` returns to an older copy."""
+
+    def __init__(self):
+        self.items = []
+        self.era = 1
+
+    def reset(self, lost):
+        del self.items[len(self.items) - lost :]
+        self.era += 1
+
+
+@attrs.define
+class _Store:
+    """Client of the records, for one instance."""
+
+    records: _Records
+    is_cut_off: bool = False
+    lost_appends: int = 0
+    late_appends: int = 0
+    on_appended: object = lambda key: None
+    era: int | None = None
+
+    async def newest(self, topic, timeout_s):
+        assert topic == store_client.DUTY_TOPIC
+        await asyncio.sleep(0.01)
+        if self.is_cut_off:
+            return _failure("REFUSED")
+        self.era = self.records.era
+        newest = {}
+        for offset, (key, value) in enumerate(self.records.items):
+            newest[key] = store_records.KeyedRecord(key, value, offset)
+        return store_client.NewestRecords(
+            tuple(newest.values()), len(self.records.items)
+        )
+
+    async def append(self, topic, key, value, timeout_s, expected_end):
+        await asyncio.sleep(0.01)
+        if self.is_cut_off:
+            return _failure("REFUSED")
+        if self.late_appends:
+            self.late_appends -= 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(2.0, self._append, key, value, expected_end)
+            return _failure("NO_ANSWER")
+        offset = self._append(key, value, expected_end)
+        if self.lost_appends:
+            self.lost_appends -= 1
+            return _failure("NO_ANSWER")
+        self.era = self.records.era
+        if offset is None:
+            return _failure("CONFLICT")
+        self.on_appended(key)
+        return offset
+
+    def _append(self, key, value, expected_end):
+        end = len(self.records.items)
+        if end != expected_end:
+            return None
+        self.records.items.append((key, value))
+        return end
+
+
+def _failure(kind):
+    return store_client.StoreFailure(store_client.StoreFailureKind[kind], "")
+
+
+class _Client:
+    """Client of the platform; cut off if its instance is."""
+
+    def __init__(self, service):
+        self._service = service
+        self.is_cut_off = False
+
+    async def report(self, holder, token, content, timeout_s):
+        if self.is_cut_off:
+            return usage_client.UsageResult.UNAVAILABLE
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._service.call(holder, token, content)
+        except TimeoutError:
+            return usage_client.UsageResult.UNKNOWN
+
+
+class _Instance:
+    def __init__(self, name, system):
+        self.name = name
+        self.store = _Store(system.records)
+        self.client = _Client(system.service)
+        self.ledger = usage_windows.UsageLedger()
+        self.events = []
+        self._system = system
+        clock = system.time_s
+        self.counter = usage_counter.UsageCounter(
+            _WINDOW_S,
+            _LATE_S,
+            clock,
+            is_enabled=True,
+            time_of_day=lambda: _START_S + clock(),
+        )
+        self.lease = duty_lease.DutyLease(name, _LEASE_S)
+        topic = duty_topic.DutyTopic(self.store, self.lease, clock, self)
+        self.outbox = usage_outbox.UsageOutbox(
+            name,
+            50.0,
+            self.client,
+            self.lease,
+            topic,
+            self.counter.left_s,
+            clock,
+            self,
+        )
+        self._reporter = usage_reporter.UsageReporter(
+            name,
+            self.counter,
+            self.ledger,
+            topic,
+            self.lease,
+            self.outbox,
+            _Roster(system, name),
+            lambda now_s: True,
+            self,
+        )
+        self._task = asyncio.ensure_future(self._run())
+        self._resumed = asyncio.Event()
+        self._resumed.set()
+
+    def event(self, name, **fields):
+        self.events.append((name, fields))
+
+    warning = event
+
+    def reasons(self):
+        return [
+            fields.get("reason")
+            for name, fields in self.events
+            if name in ("usage duty lost", "usage not reported")
+        ]
+
+    def pause(self):
+        self._resumed.clear()
+
+    def resume(self):
+        self._resumed.set()
+
+    def cut_off(self, *, is_cut_off):
+        self.store.is_cut_off = self.client.is_cut_off = is_cut_off
+
+    def kill(self):
+        self._task.cancel()
+        self._system.names.remove(self.name)
+
+    async def _run(self):
+        while True:
+            await asyncio.sleep(0.2)
+            await self._resumed.wait()
+            self._gather()
+            await self._reporter.step()
+
+    def _gather(self):
+        current = self.counter.current_window()
+        for window in range(max(current - 4, _FIRST), current):
+            counts = {"huka": 400, f"builder {self.name}": 1}
+            self.ledger.merge(
+                usage_windows.Source("front-1", 1),
+                usage_windows.WindowCounts(window, 1, True, counts),
+                current,
+            )
+
+
+class _System:
+    """Two instances that may hold the duty, with the store and platform."""
+
+    def __init__(self):
+        self.records = _Records()
+        self.service = usage_service.UsageService(self.time_s)
+        self.names = ["a", "b"]
+        self.a = _Instance("a", self)
+        self.b = _Instance("b", self)
+
+    @staticmethod
+    def time_s():
+        return asyncio.get_running_loop().time()
+
+    def windows(self):
+        return sorted(self.service.accepted)
+
+    def assert_one_holder(self):
+        assert self.service.violations(_LEASE_S) == []
+
+
+class _Roster:
+    def __init__(self, system, own):
+        self._system = system
+        self._own = own
+
+    def duty_order(self, now_s):
+        return self._system.names.index(self._own)
+
+    def mesh(self, now_s):
+        return types.SimpleNamespace(
+            duty_ranking=tuple(self._system.names), present=()
+        )
+
+
+def _play(scenario):
+    async def main():
+        system = _System()
+        await asyncio.sleep(0.1)
+        await scenario(system)
+        system.assert_one_holder()
+        return system
+
+    return virtual_time.run(main())
+
+
+def _windows(first, last):
+    return list(range(_FIRST + first, _FIRST + last + 1))
+
+
+def test_each_window_is_reported_once_by_one_holder():
+    async def scenario(system):
+        await asyncio.sleep(60)
+        assert system.windows() == _windows(1, 10)
+        assert {call.holder for call in system.service.calls} == {"a"}
+        assert len(system.service.calls) == 10
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize("fault", [Fault.SILENT, Fault.LATE, Fault.LOST])
+def test_holder_is_killed_before_it_gets_an_answer(fault):
+    """The successor repeats the recorded report, not its own counts."""
+
+    async def scenario(system):
+        await asyncio.sleep(16)
+        system.service.fault = fault
+        await asyncio.sleep(2.6)
+        assert system.a.outbox.accepted == 1
+        system.a.kill()
+        system.service.fault = Fault.NONE
+        await asyncio.sleep(40)
+        assert system.windows() == _windows(1, 10)
+        assert "builder a" in system.service.accepted[_FIRST + 2]
+        assert system.b.outbox.missed == 0
+
+    _play(scenario)
+
+
+def test_holder_is_killed_between_recording_and_sending():
+    async def scenario(system):
+        def on_appended(key):
+            if key == f"report/{(_FIRST + 2) % 8}":
+                system.a.kill()
+
+        system.a.store.on_appended = on_appended
+        await asyncio.sleep(40)
+        assert system.windows() == _windows(1, 6)
+        assert "builder a" in system.service.accepted[_FIRST + 2]
+        assert "builder b" in system.service.accepted[_FIRST + 3]
+
+    _play(scenario)
+
+
+def test_call_that_is_executed_after_those_of_the_successor():
+    async def scenario(system):
+        system.service.late_s = 12.0
+        await asyncio.sleep(16)
+        system.service.fault = Fault.LATE
+        await asyncio.sleep(2.5)
+        system.a.kill()
+        system.service.fault = Fault.NONE
+        await asyncio.sleep(40)
+        late = [call for call in system.service.calls if not call.is_accepted]
+        assert late
+        assert {call.holder for call in late} == {"a"}
+        assert system.windows() == _windows(1, 10)
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize("name", ["lost_appends", "late_appends"])
+def test_answer_of_the_store_is_lost(name):
+    async def scenario(system):
+        await asyncio.sleep(16)
+        setattr(system.a.store, name, 1)
+        await asyncio.sleep(34)
+        assert system.windows() == _windows(1, 8)
+        assert {call.holder for call in system.service.calls} == {"a"}
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("seconds", "missed"), [(4.0, []), (8.0, []), (16.0, [2, 3])]
+)
+def test_store_is_down(seconds, missed):
+    """Windows are reported when it is back, unless they are too late."""
+
+    async def scenario(system):
+        await asyncio.sleep(16)
+        for instance in (system.a, system.b):
+            instance.store.is_cut_off = True
+        await asyncio.sleep(seconds)
+        for instance in (system.a, system.b):
+            instance.store.is_cut_off = False
+        await asyncio.sleep(60 - 16 - seconds)
+        left_out = {_FIRST + number for number in missed}
+        expected = [item for item in _windows(1, 10) if item not in left_out]
+        assert system.windows() == expected
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize("pauses", [False, True])
+def test_holder_is_cut_off_or_paused_and_comes_back(pauses):
+    """The other instance takes over before a window is too late."""
+
+    async def scenario(system):
+        await asyncio.sleep(16)
+        if pauses:
+            system.a.pause()
+        system.a.cut_off(is_cut_off=True)
+        await asyncio.sleep(20)
+        system.a.resume()
+        system.a.cut_off(is_cut_off=False)
+        await asyncio.sleep(24)
+        assert system.windows() == _windows(1, 10)
+        assert {call.holder for call in system.service.calls} == {"a", "b"}
+        assert system.a.reasons() == ["another-holder"]
+        assert all(call.is_accepted for call in system.service.calls)
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("at_s", "missed"), [(18.6, []), (22.0, [3])], ids=["lease", "no lease"]
+)
+def test_store_returns_from_an_older_copy(at_s, missed):
+    """Without a lease, the holder leaves out what others may have reported."""
+
+    async def scenario(system):
+        await asyncio.sleep(at_s)
+        system.records.reset(lost=len(system.records.items))
+        system.a.store.era = system.records.era
+        await asyncio.sleep(60 - at_s)
+        assert system.windows() == [
+            item for item in _windows(1, 10) if item - _FIRST not in missed
+        ]
+        tokens = sorted({call.token >> 32 for call in system.service.calls})
+        assert tokens == [1, 2]
+
+    _play(scenario)
+
+
+def test_holder_and_its_records_are_lost_together():
+    """The successor doesn't guess what the former holder has sent."""
+
+    async def scenario(system):
+        await asyncio.sleep(18.5)
+        assert system.windows() == _windows(1, 2)
+        system.a.kill()
+        system.records.reset(lost=1)
+        await asyncio.sleep(40)
+        accepted = system.service.accepted
+        assert "builder a" in accepted[_FIRST + 2]
+        assert "may-have-been-reported" in system.b.reasons()
+        assert system.windows()[-1] == _FIRST + 10
+
+    _play(scenario)
+
+
+def test_refused_token_is_not_used_again():
+    async def scenario(system):
+        await asyncio.sleep(16)
+        system.service.highest_token += 7
+        await asyncio.sleep(44)
+        refused = [
+            call for call in system.service.calls if not call.is_accepted
+        ]
+        assert len(refused) == 1
+        assert system.windows() == _windows(1, 10)
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize("fault", [Fault.THROTTLED, Fault.DOWN, Fault.SILENT])
+def test_platform_is_away_for_a_while(fault):
+    async def scenario(system):
+        await asyncio.sleep(16)
+        system.service.fault = fault
+        await asyncio.sleep(6)
+        system.service.fault = Fault.NONE
+        assert system.service.received <= 1 + 12
+        await asyncio.sleep(38)
+        assert system.windows() == _windows(1, 10)
+
+    _play(scenario)
+
+
+def test_platform_is_away_for_too_long():
+    async def scenario(system):
+        await asyncio.sleep(16)
+        system.service.fault = Fault.THROTTLED
+        await asyncio.sleep(16)
+        system.service.fault = Fault.NONE
+        await asyncio.sleep(28)
+        assert system.windows() == [_FIRST + 1, *_windows(4, 10)]
+        assert system.a.reasons() == ["throttled", "throttled"]
+
+    _play(scenario)
+
+
+async def test_counts_of_all_instances_are_reported_together(site):
+    service = usage_service.UsageService(asyncio.get_running_loop().time)
+    await service.start()
+    await site.add_backend("s1")
+    fields = {
+        "bounds": settings_file.SafetyBounds(
+            grace_s=3.2, lease_s=0.5, usage_window_s=1.0, usage_late_s=4.0
+        ),
+        "cloud": settings_file.CloudSettings(
+            service.address, (usage_client.DUTY,), 50.0
+        ),
+    }
+    first = await site.add_instance(1, **fields)
+    second = await site.add_instance(2, seeds=("127.0.0.1",), **fields)
+    await site.ready()
+    counted = {}
+
+    def count():
+        for instance, customer in ((first, "huka"), (second, "puhu")):
+            window = instance._usage.counter.add(customer)
+            totals = counted.setdefault(window, {})
+            totals[customer] = totals.get(customer, 0) + 1
+
+    async with asyncio.timeout(20):
+        while len(service.accepted) < 3:
+            count()
+            await asyncio.sleep(0.02)
+    await service.close()
+    assert service.violations(0.5) == []
+    # The first window may have begun before the instances knew each other.
+    for window in sorted(service.accepted)[1:]:
+        assert service.accepted[window] == counted[window]
+        assert set(counted[window]) == {"huka", "puhu"}
+
+
+async def test_without_the_duty_nothing_is_counted_and_no_call_made(site):
+    instance = await site.add_instance()
+    assert instance._usage.counter.add("huka") is None
+    assert instance._usage.counter.meter.report(1 << 40) == []
+    assert not instance._usage.on_push(b"\x93\xa1a\x01\x90")
+    assert "usage_calls" not in instance._metrics.render().decode()
--- a/packages/platform/tests/test_settings_file.py
+++ b/packages/platform/tests/test_settings_file.py
@@ -2,6 +2,7 @@
 
 import copy
 
+import attrs
 import pytest
 import yaml
 
@@ -101,3 +102,43 @@
 def test_missing_file_is_an_error(tmp_path):
     with pytest.raises(settings_file.SettingsFileError):
         settings_file.load(str(tmp_path / "none.yaml"))
+
+
+@pytest.mark.parametrize(
+    ("fields", "cloud"),
+    [
+        (None, None),
+        (
+            {
+                "address": "10.200.0.199:8608",
+                "duties": ["usage_report"],
+                "duty-per-s": 50.0,
+            },
+            (("10.200.0.199", 8608), ("usage_report",), 50.0),
+        ),
+        (
+            {"address": "10.200.0.199:8608", "duty-per-s": 5},
+            (("10.200.0.199", 8608), (), 5),
+        ),
+    ],
+)
+def test_interface_for_duties_is_read(fields, cloud):
+    settings = settings_file.decode({**DOCUMENT, "cloud": fields}, "f")
+    found = settings.cloud
+    assert (found and attrs.astuple(found, recurse=False)) == cloud
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        (("cloud", "address"), "10.200.0.199", "address"),
+        (("cloud", "duty-per-s"), 0, "duty-per-s"),
+        (("bounds", "usage-window"), "0s", "usage-window"),
+    ],
+)
+def test_wrong_field_of_duties_is_named(path, value, named):
+    document = copy.deepcopy(DOCUMENT)
+    document["cloud"] = {"address": "10.200.0.199:8608", "duty-per-s": 50.0}
+    document[path[0]][path[1]] = value
+    with pytest.raises(settings_file.SettingsFileError, match=named):
+        settings_file.decode(document, "f")
