--- a/packages/entry/tests/test_usage_duty.py
+++ b/packages/entry/tests/test_usage_duty.py
@@ -211,6 +211,7 @@
         self.records = _Records()
         self.service = usage_service.UsageService(self.time_s)
         self.names = ["a", "b"]
+        self.present = []
         self.a = _Instance("a", self)
         self.b = _Instance("b", self)
 
@@ -235,7 +236,11 @@
 
     def mesh(self, now_s):
         return types.SimpleNamespace(
-            duty_ranking=tuple(self._system.names), present=()
+            duty_ranking=tuple(self._system.names),
+            present=[
+                types.SimpleNamespace(node=name, incarnation=1)
+                for name in self._system.present
+            ],
         )
 
 
@@ -264,6 +269,48 @@
     _play(scenario)
 
 
+@pytest.mark.parametrize(
+    ("present", "final_s", "counts", "incomplete"),
+    [
+        (["front-2"], 4.0, {"huka": 400, "puhu": 30}, False),
+        (["front-2"], 6.0, {"huka": 400, "puhu": 20}, True),
+        ([], 6.0, {"huka": 400, "puhu": 20}, True),
+    ],
+    ids=["late", "too late", "lost"],
+)
+def test_missing_counts_are_awaited_and_then_stated(
+    present, final_s, counts, incomplete
+):
+    """What an instance has counted and lost is logged, not estimated."""
+
+    async def scenario(system):
+        system.present = present
+        source = usage_windows.Source("front-2", 1)
+        window = _FIRST + 1
+
+        def state(revision, count, *, is_final):
+            stated = usage_windows.WindowCounts(
+                window, revision, is_final, {"puhu": count}
+            )
+            system.a.ledger.merge(source, stated, window + 1)
+
+        await asyncio.sleep(8)
+        state(1, 20, is_final=False)
+        await asyncio.sleep(2 + final_s)
+        state(2, 30, is_final=True)
+        await asyncio.sleep(4)
+        reported = system.service.accepted[window]
+        assert {**reported, "builder a": 1} == {**counts, "builder a": 1}
+        logged = [
+            fields["instances"]
+            for name, fields in system.a.events
+            if name == "usage incomplete" and fields["window"] == window
+        ]
+        assert logged == ([["front-2"]] if incomplete else [])
+
+    _play(scenario)
+
+
 @pytest.mark.parametrize("fault", [Fault.SILENT, Fault.LATE, Fault.LOST])
 def test_holder_is_killed_before_it_gets_an_answer(fault):
     """The successor repeats the recorded report, not its own counts."""
@@ -389,6 +436,19 @@
     _play(scenario)
 
 
+def test_reports_that_the_store_has_lost_are_written_again():
+    async def scenario(system):
+        await asyncio.sleep(18.6)
+        system.records.reset(lost=len(system.records.items))
+        system.a.store.era = system.records.era
+        await asyncio.sleep(0.9)
+        keys = {key for key, _ in system.records.items}
+        expected = {f"report/{window % 8}" for window in _windows(1, 2)}
+        assert keys == {"holder", *expected}
+
+    _play(scenario)
+
+
 def test_holder_and_its_records_are_lost_together():
     """The successor doesn't guess what the former holder has sent."""
 
@@ -415,6 +475,7 @@
             call for call in system.service.calls if not call.is_accepted
         ]
         assert len(refused) == 1
+        assert system.a.reasons() == ["fenced"]
         assert system.windows() == _windows(1, 10)
 
     _play(scenario)
@@ -434,6 +495,21 @@
     _play(scenario)
 
 
+def test_report_is_not_repeated_without_a_lease():
+    async def scenario(system):
+        await asyncio.sleep(16)
+        system.service.fault = Fault.THROTTLED
+        await asyncio.sleep(2.5)
+        system.a.store.is_cut_off = True
+        system.b.kill()
+        await asyncio.sleep(_LEASE_S)
+        received = system.service.received
+        await asyncio.sleep(3)
+        assert system.service.received == received > 1
+
+    _play(scenario)
+
+
 def test_platform_is_away_for_too_long():
     async def scenario(system):
         await asyncio.sleep(16)
