Tell a reset from the end of an answer, and refuse undefined statuses

A 200 without a length whose connection was reset while the upload was still written: the caller got the part as a complete answer. Cause: where the reset arrives together with data, libuv reports end of file after a short read and never sees the pending error; connection_lost gets no exception. ServerConnection now asks the socket for its error at the end of file, and counts unsent request bytes as a reset.

An answer with the status 000: the parser takes any three digits, and read_frame refused 101 only. Final answers now have a status of 200 to 599; both engines share the check.

--- a/packages/gateway/src/magnoliacrank/gateway/answer_framing.py
+++ b/packages/gateway/src/magnoliacrank/gateway/answer_framing.py
@@ -14,6 +14,9 @@
 _HEAD_END = b"\r\n\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_FINAL_STATUSES = range(200, 600)
+"""Statuses that HTTP defines for final answers."""
+
 _VERSIONS = (http.HttpVersion11, http.HttpVersion10)
 
 
@@ -49,9 +52,10 @@
 ) -> Frame | None:
     """Returns the framing of an answer, or None if it can't be trusted.
 
-    None stands for a protocol upgrade, an unsupported HTTP version or
-    transfer coding, a length together with a transfer coding, and for an
-    answer with neither of them if `allows_close_delimited` is false.
+    None stands for a protocol upgrade, an undefined status, an unsupported
+    HTTP version or transfer coding, a length together with a transfer coding,
+    and for an answer with neither of them if `allows_close_delimited` is
+    false.
 
     Args:
         message: Parsed head of the answer.
@@ -62,7 +66,7 @@
             answer of this kind can't be told from a truncated one.
     """
     if (
-        message.code == 101
+        message.code not in _FINAL_STATUSES
         or message.upgrade
         or message.version not in _VERSIONS
     ):
--- a/packages/gateway/src/magnoliacrank/gateway/server_connection.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_connection.py
@@ -168,6 +168,7 @@
         self._allows_close_delimited = allows_close_delimited
         self._answer_filter: AnswerFilter | None = None
         self._is_close_delimited = False
+        self._was_reset = False
         self._state = State.IDLE
         self._head_future: asyncio.Future[
             AnswerHead | exchange_failure.ExchangeFailure
@@ -334,6 +335,19 @@
             self.transport.abort()
         self._owner.on_retired(self)
 
+    def eof_received(self) -> None:
+        """Tells an orderly close from a reset.
+
+        libuv reports a reset that arrives together with data as end of file,
+        with the error still pending on the socket. A failed write may have
+        cleared that error; bytes are then left unsent.
+        """
+        transport = self.transport
+        self._was_reset = transport is not None and (
+            self._has_unsent_bytes()
+            or socket_options.has_pending_error(transport)
+        )
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the exchange in progress, if any, when the connection closes."""
         if self._state is State.ANSWERING and self._is_close_delimited:
@@ -477,7 +491,7 @@
         return transport is not None and transport.get_write_buffer_size() > 0
 
     def _finish_close_delimited(self, exc: BaseException | None) -> None:
-        if exc is not None:
+        if exc is not None or self._was_reset:
             return
         self._closes_after_answer = True
         cast("http_parser.HttpResponseParser", self._parser).feed_eof()
--- a/packages/gateway/src/magnoliacrank/gateway/socket_options.py
+++ b/packages/gateway/src/magnoliacrank/gateway/socket_options.py
@@ -29,6 +29,22 @@
 )
 
 
+def has_pending_error(transport: asyncio.BaseTransport) -> bool:
+    """Whether the kernel holds an error, such as a reset, of a connection.
+
+    Reading the error clears it.
+
+    Args:
+        transport: Transport of the TCP connection.
+    """
+    connection = transport.get_extra_info("socket")
+    try:
+        pending = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except OSError:
+        return True
+    return bool(pending)
+
+
 def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
     """Makes the kernel close a connection whose peer acknowledges nothing.
 
