Notice servers without load reports that become cold again

Entries whose warm-up rises are changes now. policy.warmup_check says when such a server is probed: before its use after a second without a request, beside its use every half second. Ruled out: a probe before each request, which waits for a slot as the request does.

--- a/packages/entry/src/magnoliacrank/entry/backend_table.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_table.py
@@ -21,6 +21,8 @@
     from magnoliacrank.entry import event_log
     from magnoliacrank.gateway import answer_memory
 
+FailureKind = exchange_failure.FailureKind
+
 PROBE_TIMEOUT_S = 0.25
 """Timeout of a health request; a server that exceeds it counts as silent."""
 
@@ -73,6 +75,9 @@
     in_flight: int = 0
     """Requests that this instance has sent and that have not ended."""
 
+    last_dispatch_s: float = float("-inf")
+    """Time of the latest dispatch."""
+
     dispatch_times_s: list[float] = attrs.field(factory=list)
     """Times of the dispatches since the newest report was requested."""
 
@@ -86,6 +91,7 @@
     def on_dispatch(self, now_s: float) -> None:
         """Counts a request that is sent to this server."""
         self.in_flight += 1
+        self.last_dispatch_s = now_s
         self.dispatch_times_s.append(now_s)
         del self.dispatch_times_s[:-_MAX_DISPATCH_TIMES]
 
@@ -225,13 +231,15 @@
         return backend
 
     async def probe(
-        self, backend: Backend, health_path: str
+        self, backend: Backend, health_path: str, *, may_queue: bool = False
     ) -> backend_entry.HealthReport | None:
         """Sends a health request to a server and records its load report.
 
         Args:
             backend: The server.
             health_path: Path of the health request.
+            may_queue: Whether the server is known to let health requests wait
+                for a slot, so that a late answer is no sign of a failure.
 
         Returns:
             The report, or None if the request failed or another server
@@ -247,6 +255,8 @@
         )
         now_s = self._clock()
         if isinstance(answer, exchange_failure.ExchangeFailure):
+            if may_queue and answer.kind is FailureKind.TIMEOUT:
+                return None
             if not backend.health.is_unresponsive(now_s):
                 self._log.event(
                     "server silent",
@@ -267,10 +277,9 @@
     def _update_entry(
         self, backend: Backend, entry: backend_entry.BackendEntry
     ) -> None:
-        if entry.warmup_left_s > backend.entry.warmup_left_s:
-            backend.cold_until_s = max(
-                backend.cold_until_s, self._cold_until_s(entry)
-            )
+        backend.cold_until_s = max(
+            backend.cold_until_s, self._cold_until_s(entry)
+        )
         backend.entry = entry
 
     def _cold_until_s(self, entry: backend_entry.BackendEntry) -> float:
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -12,6 +12,7 @@
 from magnoliacrank.policy import crowding
 from magnoliacrank.policy import placement
 from magnoliacrank.policy import wait_policy
+from magnoliacrank.policy import warmup_check
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -203,7 +204,7 @@
         health_path = "/health" if service is None else service.health_path
         candidates = self._candidates(request)
         if request.service in self._without_load_reports:
-            return self._find_by_in_flight(candidates)
+            return await self._find_by_in_flight(candidates, health_path)
         rounds = placement.probe_rounds(
             candidates, self._is_remote, _PROBES_PER_ROUND, _MAX_PROBE_ROUNDS
         )
@@ -223,13 +224,14 @@
                 return backend
         return None
 
-    def _find_by_in_flight(
-        self, candidates: list[backend_table.Backend]
+    async def _find_by_in_flight(
+        self, candidates: list[backend_table.Backend], health_path: str
     ) -> backend_table.Backend | None:
         """Chooses by in-flight requests among servers that report no load.
 
         A health request to such a server waits for a slot like any request, so
-        a probe before each dispatch would cost as much as it saves.
+        a probe before each dispatch would cost as much as it saves. One that
+        was out of use is probed first, since it may have become cold.
         """
         now_s = self._clock()
         free = [
@@ -247,10 +249,36 @@
             for index, backend in enumerate(free)
         ]
         for *_, index in sorted(keyed):
-            if self._try_confirm(free[index]):
-                return free[index]
+            backend = free[index]
+            if not await self._knows_warmup(backend, health_path):
+                continue
+            if self._try_confirm(backend):
+                return backend
         return None
 
+    async def _knows_warmup(
+        self, backend: backend_table.Backend, health_path: str
+    ) -> bool:
+        """Probes a server that states no load if its warm-up is in doubt.
+
+        Returns:
+            Whether its warm-up state is known well enough to use it now.
+        """
+        now_s = self._clock()
+        report_age_s = None
+        if backend.report is not None:
+            report_age_s = now_s - backend.report_received_s
+        check = warmup_check.due_check(
+            report_age_s, now_s - backend.last_dispatch_s
+        )
+        if check is warmup_check.WarmupCheck.NONE:
+            return True
+        probe = self._start_probe(backend, health_path)
+        if check is warmup_check.WarmupCheck.CONCURRENT or probe is None:
+            return True
+        await asyncio.wait({probe}, timeout=_PROBE_ROUND_S)
+        return backend.report_received_s >= now_s
+
     def _is_acceptable(
         self,
         request: placement_requests.PlacementRequest,
@@ -320,7 +348,11 @@
         self, backend: backend_table.Backend, health_path: str
     ) -> None:
         try:
-            report = await self._table.probe(backend, health_path)
+            report = await self._table.probe(
+                backend,
+                health_path,
+                may_queue=backend.entry.service in self._without_load_reports,
+            )
         finally:
             del self._running_probes[backend.entry.server_id]
         if report is None or not report.is_healthy:
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -445,4 +445,5 @@
         new = backend_wire.decode_entry("", after)
     except wire_values.WireValueError:
         return before == after
-    return old.without_warmup() == new.without_warmup()
+    has_become_cold = new.warmup_left_s > old.warmup_left_s
+    return not has_become_cold and old.without_warmup() == new.without_warmup()
--- a/packages/entry/tests/test_worst_load.py
+++ b/packages/entry/tests/test_worst_load.py
@@ -78,8 +78,8 @@
     def find(self, entry):
         return self._backends[entry.server_id]
 
-    async def probe(self, backend, health_path):
-        del health_path
+    async def probe(self, backend, health_path, *, may_queue=False):
+        del health_path, may_queue
         requested_s = self._clock()
         await asyncio.sleep(NETWORK_S)
         report = backend_entry.HealthReport(
