Admit callers by the API keys of customers

The configuration may list customers with API keys; until now the list was ignored, so any request ran and the caller's key went on to servers.

Access is one pure decision (policy/caller_access), taken at the arrival and again right before each dispatch, so a removed key also ends what waits, and a kept connection carries no rights. Before a 401 the view is refreshed like for an unknown route. Keys leave the instance only while a configuration has no customers.

--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -18,6 +18,7 @@
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import entry_state
     from magnoliacrank.entry import job as jobs
+    from magnoliacrank.policy import caller_access
 
     ExchangeResult = backend_link.WholeAnswer | exchange_failure.ExchangeFailure
 
@@ -57,12 +58,16 @@
         self._clock = state.clock
 
     async def send(
-        self, backend: backend_table.Backend, load_test: int | None = None
+        self,
+        backend: backend_table.Backend,
+        grant: caller_access.Grant,
+        load_test: int | None = None,
     ) -> dispatches.DispatchResult:
         """Sends the request to one backend server and returns the outcome.
 
         Args:
             backend: The server.
+            grant: The caller's permission by the configuration in force.
             load_test: Number of the load test of a new version that the
                 request is part of, or None.
         """
@@ -81,7 +86,7 @@
         outcome: ExchangeResult
         try:
             outcome = await backend.link.exchange(
-                self._outbound_request(backend),
+                self._outbound_request(backend, grant),
                 job.deadline_s - sent_s + _ANSWER_GRACE_S,
             )
         except asyncio.CancelledError:
@@ -143,12 +148,13 @@
         )
 
     def _outbound_request(
-        self, backend: backend_table.Backend
+        self, backend: backend_table.Backend, grant: caller_access.Grant
     ) -> backend_link.OutboundRequest:
         job = self._job
         left_s = job.deadline_s - self._clock()
         headers = [
             *job.headers,
+            *self._identity_headers(grant),
             (request_wire.DEADLINE, request_wire.format_deadline(left_s)),
             (request_wire.TARGET, backend.entry.server_id),
         ]
@@ -159,6 +165,16 @@
             is_idempotent=job.is_idempotent,
         )
 
+    def _identity_headers(
+        self, grant: caller_access.Grant
+    ) -> tuple[tuple[str, str], ...]:
+        """Returns the headers that tell the server who the caller is."""
+        if grant.forwards_credentials:
+            return self._job.credentials
+        if not grant.customer:
+            return ()
+        return ((request_wire.CUSTOMER, grant.customer),)
+
     def _record_result(
         self,
         backend: backend_table.Backend,
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -16,7 +16,9 @@
 from magnoliacrank.entry import request_trace
 from magnoliacrank.gateway import body as bodies
 from magnoliacrank.gateway import framing
+from magnoliacrank.model import route_plan
 from magnoliacrank.platform import request_wire
+from magnoliacrank.policy import caller_access
 
 if TYPE_CHECKING:
     from magnoliacrank.entry import entry_state
@@ -24,7 +26,6 @@
     from magnoliacrank.entry import site_view
     from magnoliacrank.gateway import answer_memory
     from magnoliacrank.gateway import inbound_exchange
-    from magnoliacrank.model import route_plan
 
 Verdict = dispatches.Verdict
 
@@ -35,10 +36,12 @@
 _CRASH_RETRY_AFTER_S = 5.0
 """Retry delay stated to the caller of a request that crashes servers."""
 
-_UNKNOWN_ROUTE_MAX_AGE_S = 1.0
-"""Age of the cached configuration beyond which a request for an unknown route
-triggers a read; half of the time within which a new configuration must be in
-force."""
+_UNKNOWN_MAX_AGE_S = 1.0
+"""Age of the cached configuration beyond which a request with an unknown route
+or API key triggers a read; half of the time within which a new configuration
+must be in force."""
+
+_UNAUTHORIZED = 401
 
 _MIN_REMAINING_S = 0.001
 """Least time to the deadline for which a request is still forwarded."""
@@ -57,6 +60,10 @@
     retry_after_s: float | None = None
 
 
+_Admission = tuple[route_plan.RouteRule, caller_access.Grant]
+"""Route of a request and the permission to use it."""
+
+
 class EntryHandler:
     """Request handler of the port for callers.
 
@@ -94,10 +101,11 @@
         arrived_s = self._state.clock()
         trace = request_trace.RequestTrace(arrived_s, self._state.clock)
         await self._reader.refresh_for_request()
-        rule = await self._find_route(exchange)
-        if isinstance(rule, _Refusal):
-            await self._refuse(exchange, rule, None, trace)
+        found = await self._admit(exchange)
+        if isinstance(found, _Refusal):
+            await self._refuse(exchange, found, None, trace)
             return
+        rule, grant = found
         size = exchange.body_length or 0
         if self._body_bytes + size > self._body_memory_bytes:
             refusal = _Refusal(503, "body-memory", _UNAVAILABLE_RETRY_AFTER_S)
@@ -105,33 +113,41 @@
             return
         self._body_bytes += size
         try:
-            await self._serve(exchange, rule, trace, size)
+            await self._serve(exchange, rule, grant, trace, size)
         finally:
             self._body_bytes -= size
 
-    async def _find_route(
+    async def _admit(
+        self, exchange: inbound_exchange.InboundExchange
+    ) -> _Admission | _Refusal:
+        found = self._look_up(exchange)
+        if isinstance(found, _Refusal):
+            # The route or the API key may have been added since the last read.
+            await self._reader.refresh(_UNKNOWN_MAX_AGE_S)
+            found = self._look_up(exchange)
+        return found
+
+    def _look_up(
         self, exchange: inbound_exchange.InboundExchange
-    ) -> route_plan.RouteRule | _Refusal:
+    ) -> _Admission | _Refusal:
+        plan = self._view.plan
+        if plan is None:
+            return _Refusal(503, "no-configuration", _UNAVAILABLE_RETRY_AFTER_S)
         host = exchange.headers.get(hdrs.HOST, "").partition(":")[0].lower()
-        rule = self._look_up(host, exchange.path)
+        rule = plan.find_route(host, exchange.path)
         if rule is None:
-            # The route may have been added since the last read.
-            await self._reader.refresh(_UNKNOWN_ROUTE_MAX_AGE_S)
-            rule = self._look_up(host, exchange.path)
-        if rule is not None:
-            return rule
-        if self._view.plan is None:
-            return _Refusal(503, "no-configuration", _UNAVAILABLE_RETRY_AFTER_S)
-        return _Refusal(404, "no-route")
-
-    def _look_up(self, host: str, path: str) -> route_plan.RouteRule | None:
-        plan = self._view.plan
-        return None if plan is None else plan.find_route(host, path)
+            return _Refusal(404, "no-route")
+        key = request_wire.read_api_key(exchange.headers)
+        access = caller_access.decide(plan, rule, key)
+        if isinstance(access, caller_access.Denial):
+            return _Refusal(_UNAUTHORIZED, access.value)
+        return rule, access
 
     async def _serve(
         self,
         exchange: inbound_exchange.InboundExchange,
         rule: route_plan.RouteRule,
+        grant: caller_access.Grant,
         trace: request_trace.RequestTrace,
         stated_bytes: int,
     ) -> None:
@@ -149,7 +165,7 @@
             await self._refuse(exchange, refusal, rule, trace)
             return
         assert isinstance(body, bytes)
-        job = self._prepare(exchange, rule, body, trace)
+        job = self._prepare(exchange, rule, grant, body, trace)
         now_s = self._state.clock()
         if job.deadline_s - now_s < _MIN_REMAINING_S:
             refusal = _Refusal(503, "deadline-passed", 0.0)
@@ -161,12 +177,13 @@
         carrier = request_carrier.RequestCarrier(self._state, job)
         result = await self._carry(exchange, carrier, job)
         if result is not None:
-            await self._answer(exchange, job, result)
+            await self._answer(exchange, carrier, job, result)
 
     def _prepare(
         self,
         exchange: inbound_exchange.InboundExchange,
         rule: route_plan.RouteRule,
+        grant: caller_access.Grant,
         body: bytes,
         trace: request_trace.RequestTrace,
     ) -> jobs.Job:
@@ -179,21 +196,26 @@
             caller_timeout_s = rule.timeout_s
         digest = xxhash.xxh64(f"{exchange.method} {exchange.target}\n".encode())
         digest.update(body)
+        forwarded, credentials = request_wire.split_credentials(
+            _REQUEST_HEADER_FILTER.apply(headers)
+        )
         return jobs.Job(
             request_id=headers.get(request_wire.REQUEST_ID, ""),
             rule=rule,
             service=self._state.choose_service(rule),
-            customer="",
-            priority=rule.priority,
+            customer=grant.customer,
+            priority=grant.priority,
             method=exchange.method,
             target=exchange.target,
-            headers=tuple(_REQUEST_HEADER_FILTER.apply(headers)),
+            headers=forwarded,
             body=body,
             arrived_s=trace.arrived_s,
             asked_s=trace.arrived_s - elapsed_s,
             deadline_s=trace.arrived_s + caller_timeout_s,
             fingerprint=digest.hexdigest(),
             trace=trace,
+            api_key=request_wire.read_api_key(headers),
+            credentials=credentials,
         )
 
     async def _carry(
@@ -232,12 +254,15 @@
     async def _answer(
         self,
         exchange: inbound_exchange.InboundExchange,
+        carrier: request_carrier.RequestCarrier,
         job: jobs.Job,
         result: request_carrier.RequestResult,
     ) -> None:
         answer = result.answer
         if answer is None:
-            refusal = _to_refusal(result, job, self._state.clock())
+            refusal = _to_refusal(
+                result, job, self._state.clock(), is_denied=carrier.is_denied
+            )
             await self._refuse(exchange, refusal, job.rule, job.trace)
             return
         duration_s = self._state.clock() - job.arrived_s
@@ -298,6 +323,8 @@
             spans=trace.fields,
         )
         fields = [("Content-Type", "application/json")]
+        if refusal.status == _UNAUTHORIZED:
+            fields.append(request_wire.CHALLENGE)
         if refusal.retry_after_s is not None:
             value = f"{refusal.retry_after_s:.3f}"
             fields.append((request_wire.RETRY_AFTER, value))
@@ -320,9 +347,15 @@
 
 
 def _to_refusal(
-    result: request_carrier.RequestResult, job: jobs.Job, now_s: float
+    result: request_carrier.RequestResult,
+    job: jobs.Job,
+    now_s: float,
+    *,
+    is_denied: bool,
 ) -> _Refusal:
     if result.verdict is Verdict.NOT_RUN:
+        if is_denied:
+            return _Refusal(_UNAUTHORIZED, result.reason)
         return _Refusal(503, result.reason, result.retry_after_s)
     # The request may have run, so the status must not promise that it didn't.
     status = 504 if now_s >= job.deadline_s else 502
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -303,7 +303,7 @@
 
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
         """Applies a new configuration's priorities and limits on callers."""
-        self._state.highest_priority = plan.highest_priority
+        self._state.on_plan(plan)
         limits = plan.limits
         self._front.set_limits(
             front_limits.FrontLimits(
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliacrank.policy import caller_access
 from magnoliacrank.policy import crash_register
 from magnoliacrank.policy import repeat_budget
 from magnoliacrank.policy import service_load
@@ -65,6 +66,7 @@
         self.placer = placer
         self.trials = trials
         self.crashes = crash_register.CrashRegister()
+        self.plan: route_plan.RoutePlan | None = None
         self.highest_priority = 0
         self.load_meter = service_load.ServiceLoadMeter()
         self.peer_loads = service_load.ServiceLoadRegister()
@@ -77,6 +79,23 @@
         self._timeouts: dict[str, stated_timeouts.StatedTimeouts] = {}
         self._cursors: dict[str, weighted_round_robin.WeightedRoundRobin] = {}
 
+    def on_plan(self, plan: route_plan.RoutePlan) -> None:
+        """Takes over a configuration that came into force."""
+        self.plan = plan
+        self.highest_priority = plan.highest_priority
+
+    def access(
+        self, rule: route_plan.RouteRule, api_key: str | None
+    ) -> caller_access.Grant | caller_access.Denial:
+        """Decides by the configuration in force who may use a route.
+
+        Args:
+            rule: Route of the request.
+            api_key: API key that the caller sent, None if it sent none.
+        """
+        assert self.plan is not None, "the route is from a configuration"
+        return caller_access.decide(self.plan, rule, api_key)
+
     def own_loads(self, now_s: float) -> list[service_load.ServiceLoad]:
         """Returns the loads of the services that have requests here.
 
--- a/packages/entry/src/magnoliacrank/entry/job.py
+++ b/packages/entry/src/magnoliacrank/entry/job.py
@@ -34,8 +34,8 @@
     """Request target: path and query."""
 
     headers: tuple[tuple[str, str], ...]
-    """Headers to forward; the deadline and target headers, which differ for
-    each dispatch, are left out."""
+    """Headers to forward; those that say who the caller is, and the deadline
+    and target headers, which differ for each dispatch, are left out."""
 
     body: bytes
     """The complete body."""
@@ -56,6 +56,15 @@
     trace: request_trace.RequestTrace
     """Spans of time that the request has spent so far."""
 
+    api_key: str | None = attrs.field(default=None, repr=False)
+    """API key that the caller sent; None if it sent none."""
+
+    credentials: tuple[tuple[str, str], ...] = attrs.field(
+        default=(), repr=False
+    )
+    """Headers with which the caller says who it is. They are forwarded only
+    while the configuration has no customers."""
+
     @property
     def objective_s(self) -> float:
         """Clock time in seconds up to which an answer is in time."""
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -18,6 +18,7 @@
 from magnoliacrank.entry import dispatcher
 from magnoliacrank.entry import placement_request as placement_requests
 from magnoliacrank.entry import request_trace
+from magnoliacrank.policy import caller_access
 from magnoliacrank.policy import repeat_budget
 from magnoliacrank.policy import version_trial
 
@@ -84,6 +85,7 @@
         self._clock = state.clock
         self._tried_server_ids: set[str] = set()
         self._sent_count = 0
+        self._is_denied = False
         self._refusals = 0
         self._may_have_run = False
         self._failure_answer: backend_link.WholeAnswer | None = None
@@ -91,6 +93,15 @@
         self._to_new_version = False
         self._load_test: int | None = None
 
+    @property
+    def is_denied(self) -> bool:
+        """Whether the caller had lost its access at the latest decision.
+
+        A new configuration may have removed its API key while the request
+        waited.
+        """
+        return self._is_denied
+
     @property
     def has_been_sent(self) -> bool:
         """Whether a server may have executed or may be executing the request.
@@ -155,6 +166,8 @@
 
     def _may_retry(self) -> bool:
         job = self._job
+        if self._check_access() is None:
+            return False
         now_s = self._clock()
         ran = self._may_have_run or self._failure_answer is not None
         if ran and not job.is_idempotent:
@@ -167,6 +180,19 @@
             return False
         return self._take_retry()
 
+    def _check_access(self) -> caller_access.Grant | None:
+        """Decides access anew, since the configuration may have changed.
+
+        Returns:
+            The permission, or None if it was withdrawn.
+        """
+        access = self._state.access(self._job.rule, self._job.api_key)
+        self._is_denied = isinstance(access, caller_access.Denial)
+        if isinstance(access, caller_access.Grant):
+            return access
+        self._reason = access.value
+        return None
+
     def _take_retry(self) -> bool:
         job = self._job
         is_first = job.priority <= self._state.highest_priority
@@ -303,9 +329,12 @@
         self, backend: backend_table.Backend
     ) -> dispatches.DispatchResult:
         """Sends the request to one server; counts it if it may have run."""
+        grant = self._check_access()
+        if grant is None:
+            return dispatches.DispatchResult(Verdict.NOT_RUN, self._reason)
         self._tried_server_ids.add(backend.entry.server_id)
         self._sent_count += 1
-        dispatch = await self._dispatcher.send(backend, self._load_test)
+        dispatch = await self._dispatcher.send(backend, grant, self._load_test)
         if dispatch.verdict is Verdict.NOT_RUN:
             self._sent_count -= 1
         return dispatch
@@ -313,6 +342,8 @@
     async def _find_hedge_backend(self) -> backend_table.Backend | None:
         if self._clock() >= self._job.deadline_s:
             return None
+        if self._check_access() is None:
+            return None
         if self._state.placer.queue(self._job.service).length:
             # Requests that have no server yet take precedence over hedges.
             return None
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -45,7 +45,7 @@
         return [name for name, _ in self.lines]
 
 
-def configuration(version=1, routes=None, **service):
+def configuration(version=1, routes=None, tenants=None, **service):
     """Returns the operators' configuration as they write it."""
     plain = {
         "name": "svc",
@@ -70,6 +70,7 @@
                 "idle-timeout": "15000ms",
             },
             "virtual-hosts": [{"host": HOST, "paths": paths}],
+            **({} if tenants is None else {"tenants": tenants}),
         }
     ).encode()
 
--- a/packages/model/src/magnoliacrank/model/route_plan.py
+++ b/packages/model/src/magnoliacrank/model/route_plan.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from magnoliacrank.model import customer_table
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -61,6 +63,9 @@
     shares: tuple[ServiceShare, ...]
     """Services that share the requests; never empty."""
 
+    is_public: bool = False
+    """Whether callers without a valid API key may use the route."""
+
 
 @attrs.frozen
 class ServiceSettings:
@@ -115,15 +120,31 @@
     limits: CallerLimits
     """Limits on the requests of callers."""
 
+    customers: customer_table.CustomerTable | None = None
+    """Customers and their API keys; None if callers need no key."""
+
     @property
     def highest_priority(self) -> int:
-        """Priority of the most urgent routes; 0 if there are no routes."""
-        ranks = [
+        """Priority of the most urgent requests; 0 if there are no routes.
+
+        The priority of a customer holds on all routes. The priorities of
+        routes count for callers without such a customer.
+        """
+        table = self.customers
+        own = [] if table is None else list(table.customers.values())
+        own_ranks = [
+            customer.priority
+            for customer in own
+            if customer.priority is not None
+        ]
+        uses_routes = table is None or len(own_ranks) < len(own)
+        route_ranks = [
             rule.priority
             for rules in self.routes.values()
             for rule in rules.values()
+            if rule.is_public or uses_routes
         ]
-        return min(ranks, default=0)
+        return min(own_ranks + route_ranks, default=0)
 
     def services_of(self, host: str) -> set[str]:
         """Returns the services that get requests of a host's routes.
--- a/packages/platform/src/magnoliacrank/platform/operator_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/operator_wire.py
@@ -8,6 +8,7 @@
 
 from magnoliacrank.model import orders
 from magnoliacrank.model import route_plan
+from magnoliacrank.platform import customer_wire
 from magnoliacrank.platform import wire_values
 
 CONFIGURATION_KEY = "config"
@@ -97,6 +98,9 @@
         WireValueError: The configuration is malformed.
     """
     fields = wire_values.decode_json(value)
+    if not isinstance(fields, dict):
+        # The message doesn't show the document: it may contain API keys.
+        raise wire_values.WireValueError("configuration: not a mapping")
     services = [
         _decode_service(item)
         for item in wire_values.read_list(fields, "services")
@@ -120,6 +124,7 @@
             ),
             idle_timeout_s=wire_values.read_duration_s(limits, "idle-timeout"),
         ),
+        customers=customer_wire.decode_customers(fields),
     )
 
 
@@ -151,6 +156,7 @@
         priority=wire_values.read_integer(fields, "priority"),
         max_attempts=wire_values.read_integer(fields, "max-attempts", 1),
         shares=_decode_shares(fields),
+        is_public=wire_values.read_boolean(fields, "public", default=False),
     )
 
 
--- a/packages/platform/src/magnoliacrank/platform/request_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/request_wire.py
@@ -4,11 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from aiohttp import hdrs
+
 from magnoliacrank.platform import wire_values
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from multidict import CIMultiDictProxy
+
 REQUEST_ID = "Request-Id"
 """Request and response: identifies one attempt of the caller."""
 
@@ -18,6 +23,10 @@
 TARGET = "Target-Instance"
 """Request: name of the only backend server that may run it."""
 
+CUSTOMER = "Tenant"
+"""Request to a backend server: name of the customer that the caller belongs
+to."""
+
 NOT_EXECUTED = "Not-Executed"
 """Response: present if the backend server did not run the request."""
 
@@ -40,6 +49,9 @@
 RETRY_AFTER = "Retry-After"
 """Response: seconds after which the caller may retry; may be a fraction."""
 
+CHALLENGE = (hdrs.WWW_AUTHENTICATE, "Bearer")
+"""Response with status 401: how callers send their API key."""
+
 KEEP_ALIVE = "Keep-Alive"
 """Response: parameters of a persistent connection, such as its idle timeout."""
 
@@ -50,6 +62,9 @@
 """Statuses that promise that the request has not run and never will."""
 
 _MS_PER_S = 1000.0
+_KEY_SCHEME = "bearer"
+_CREDENTIALS = frozenset({hdrs.AUTHORIZATION.lower(), CUSTOMER.lower()})
+"""Names, in lower case, of the headers that say who the caller is."""
 _TIMEOUT_PARAMETER = "timeout="
 
 
@@ -67,6 +82,37 @@
     return str(max(int(left_s * _MS_PER_S), 1))
 
 
+def read_api_key(headers: CIMultiDictProxy[str]) -> str | None:
+    """Returns the caller's API key, or None if it sent none.
+
+    Several keys in one request count as none.
+    """
+    values = headers.getall(hdrs.AUTHORIZATION, ())
+    if len(values) != 1:
+        return None
+    scheme, _, key = values[0].strip().partition(" ")
+    return key.strip() or None if scheme.lower() == _KEY_SCHEME else None
+
+
+def split_credentials(
+    headers: Iterable[tuple[str, str]],
+) -> tuple[tuple[tuple[str, str], ...], tuple[tuple[str, str], ...]]:
+    """Separates the headers that say who the caller is from all others.
+
+    Args:
+        headers: Names and values of a request's headers.
+
+    Returns:
+        The other headers, and those with the caller's API key or customer.
+    """
+    others: list[tuple[str, str]] = []
+    credentials: list[tuple[str, str]] = []
+    for pair in headers:
+        is_other = pair[0].lower() not in _CREDENTIALS
+        (others if is_other else credentials).append(pair)
+    return tuple(others), tuple(credentials)
+
+
 def is_not_executed(status: int, headers: Mapping[str, str]) -> bool:
     """Returns whether a response states that the request did not run."""
     return status == MISDIRECTED or NOT_EXECUTED in headers
--- a/packages/platform/src/magnoliacrank/platform/store_records.py
+++ b/packages/platform/src/magnoliacrank/platform/store_records.py
@@ -30,8 +30,9 @@
     key: str
     """Key of the record."""
 
-    value: bytes | None
-    """Value of the key; None for a tombstone, which deletes the key."""
+    value: bytes | None = attrs.field(repr=False)
+    """Value of the key; None for a tombstone, which deletes the key. It may
+    contain callers' API keys, so representations leave it out."""
 
     offset: int
     """Offset of the record in the topic."""
--- a/packages/platform/src/magnoliacrank/platform/wire_values.py
+++ b/packages/platform/src/magnoliacrank/platform/wire_values.py
@@ -157,6 +157,20 @@
     return value
 
 
+def read_boolean(fields: Any, name: str, *, default: bool) -> bool:
+    """Returns a boolean field, or the default if it is missing.
+
+    Raises:
+        WireValueError: The field is of another type.
+    """
+    if isinstance(fields, dict) and name not in fields:
+        return default
+    value = _read(fields, name)
+    if not isinstance(value, bool):
+        raise WireValueError(f"{name}: {_shown(value)} is not a boolean")
+    return value
+
+
 def read_duration_s(fields: Any, name: str) -> float:
     """Returns a duration field in seconds.
 
