Wait, reject and give way by what is really ahead of a request

The order of waiting requests is now a pure piece, policy.wait_order: in time before late, strict by priority, customers in turn (policy.fair_queue, which serve uses too), then by the caller's first attempt. A more urgent request takes the turn of a less urgent one, and those that it leaves no time are told so at once. A finite head start was weighed and dropped: with an objective of 200 ms all of what an urgent request may wait lies within the head start of others.

test_turns_are_granted_by_priority_and_age expected the finite head start and is replaced by cases of the new order.

--- /dev/null
+++ b/packages/entry/src/magnoliacrank/entry/overload_queue.py
@@ -0,0 +1,178 @@
+"""OverloadQueue: places the requests of one service, or queues or rejects them.
+
+Carries out what `policy.wait_policy` decides on the load of the service.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliacrank.entry import placement_request as placement_requests
+from magnoliacrank.entry import wait_queue
+from magnoliacrank.policy import wait_order
+from magnoliacrank.policy import wait_policy
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    import random
+
+    from magnoliacrank.entry import backend_table
+
+    FindBackend = Callable[
+        [placement_requests.PlacementRequest],
+        Awaitable[backend_table.Backend | None],
+    ]
+
+Cause = wait_policy.Cause
+
+POLL_S = 0.012
+"""Interval at which a request that holds a turn searches for a server."""
+
+_CAUSES = {
+    wait_queue.Ending.TIMED_OUT: Cause.TIME_IS_UP,
+    wait_queue.Ending.EVICTED: Cause.GAVE_WAY,
+}
+
+
+class OverloadQueue:
+    """Places requests of one service in the order of their urgency.
+
+    Args:
+        find_backend: Searches once for a free server.
+        clock: Returns the monotonic time in seconds.
+        rng: Random numbers for spreading retries.
+    """
+
+    def __init__(
+        self,
+        find_backend: FindBackend,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.queue = wait_queue.WaitQueue(clock)
+        self._find_backend = find_backend
+        self._clock = clock
+        self._rng = rng
+        self._policy = wait_policy.WaitPolicy()
+
+    async def place(
+        self, request: placement_requests.PlacementRequest
+    ) -> backend_table.Backend | placement_requests.Rejection:
+        """Finds a server for a request and counts the request as in flight.
+
+        Args:
+            request: Requirements of the request.
+
+        Returns:
+            The server, or the reason why there is none.
+        """
+        now_s = self._clock()
+        place = wait_order.Place(request, request.is_late(now_s))
+        if request.may_wait:
+            self.queue.order.shares.on_asked(request.priority, now_s)
+        line = self.queue.line(place)
+        decision = self._policy.on_arrival(request, line, now_s)
+        if decision.step is wait_policy.Step.SEARCH:
+            backend = await self._find_backend(request)
+            if backend is not None:
+                return self._record_placement(request, backend)
+        elif decision.cause is Cause.LATE:
+            return self._reject(request, decision)
+        return await self._wait(request, place)
+
+    async def _wait(
+        self,
+        request: placement_requests.PlacementRequest,
+        place: wait_order.Place,
+    ) -> backend_table.Backend | placement_requests.Rejection:
+        """Waits for turns until a server is found or the request is rejected.
+
+        A request whose turn is taken by a more urgent one waits for another.
+        """
+        while True:
+            line = self.queue.line(place)
+            decision = self._policy.on_busy(request, line, self._clock())
+            if decision.cause is Cause.WAIT_TOO_LONG and self._take_place(
+                place
+            ):
+                line = self.queue.line(place)
+                decision = self._policy.on_busy(request, line, self._clock())
+            if decision.step is wait_policy.Step.REJECT:
+                return self._reject(request, decision)
+            self.queue.make_way(place, self._policy.should_give_way)
+            turn = await self.queue.acquire_turn(place)
+            if isinstance(turn, wait_queue.Ending):
+                return self._reject_waiting(request, place, _CAUSES[turn])
+            try:
+                found = await self._search(request, turn)
+            finally:
+                self.queue.release_turn(turn)
+            if found is not None:
+                return found
+
+    async def _search(
+        self,
+        request: placement_requests.PlacementRequest,
+        turn: wait_queue.Turn,
+    ) -> backend_table.Backend | placement_requests.Rejection | None:
+        """Searches until the turn is revoked; returns None then."""
+        while True:
+            backend = await self._find_backend(request)
+            if backend is not None:
+                return self._record_placement(request, backend)
+            if self._clock() + POLL_S > request.wait_deadline_s:
+                return self._reject_waiting(
+                    request, turn.place, Cause.TIME_IS_UP
+                )
+            if turn.is_revoked:
+                return None
+            await self.queue.wait_until_freed(POLL_S)
+
+    def _take_place(self, place: wait_order.Place) -> bool:
+        """Evicts a request of the customer with the most waiting, if fair."""
+        other = self.queue.order.flooder(place)
+        if other is None:
+            return False
+        self.queue.evict(other)
+        return True
+
+    def _record_placement(
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
+    ) -> backend_table.Backend:
+        now_s = self._clock()
+        backend.on_dispatch(now_s)
+        self._policy.on_dispatch(request, now_s)
+        if request.may_wait:
+            self.queue.order.shares.on_placed(request.priority, now_s)
+        return backend
+
+    def _reject_waiting(
+        self,
+        request: placement_requests.PlacementRequest,
+        place: wait_order.Place,
+        cause: Cause,
+    ) -> placement_requests.Rejection:
+        line = self.queue.line(place)
+        return self._reject(
+            request,
+            self._policy.on_removed(request, line, self._clock(), cause),
+        )
+
+    def _reject(
+        self,
+        request: placement_requests.PlacementRequest,
+        decision: wait_policy.Decision,
+    ) -> placement_requests.Rejection:
+        now_s = self._clock()
+        self._policy.on_rejected(request, now_s)
+        retry_after_s = self._policy.retry_after_s(
+            self.queue.length, now_s, self._rng
+        )
+        return placement_requests.Rejection(
+            placement_requests.RejectionReason.OVERLOADED,
+            retry_after_s,
+            decision,
+        )
--- a/packages/entry/src/magnoliacrank/entry/placement_request.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from magnoliacrank.policy import wait_policy
+
 
 class RejectionReason(enum.Enum):
     """Why the placer found no backend server for a request."""
@@ -28,6 +30,9 @@
     retry_after_s: float
     """Seconds after which a retry is expected to find a server."""
 
+    decision: wait_policy.Decision | None = None
+    """What decided; None without a known server."""
+
 
 @attrs.frozen
 class PlacementRequest:
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -6,12 +6,11 @@
 from typing import TYPE_CHECKING
 
 from magnoliacrank.entry import cold_gate
+from magnoliacrank.entry import overload_queue
 from magnoliacrank.entry import owned_task
 from magnoliacrank.entry import placement_request as placement_requests
-from magnoliacrank.entry import wait_queue
 from magnoliacrank.policy import crowding
 from magnoliacrank.policy import placement
-from magnoliacrank.policy import wait_policy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,6 +20,7 @@
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import site_view
+    from magnoliacrank.entry import wait_queue
     from magnoliacrank.policy import instance_roster
 
 _PROBES_PER_ROUND = 3
@@ -44,9 +44,6 @@
 """Age up to which a report is used while the server's probe rate limit is
 exhausted."""
 
-_POLL_S = 0.012
-"""Interval at which a request that holds a turn searches for a server."""
-
 _NO_SERVER_RETRY_S = 0.5
 """Mean retry delay stated to callers when no server is known; about one
 heartbeat interval."""
@@ -90,15 +87,14 @@
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
-        self._queues: dict[str, wait_queue.WaitQueue] = {}
+        self._queues: dict[str, overload_queue.OverloadQueue] = {}
         self._crowding: dict[str, crowding.Crowding] = {}
         self._without_load_reports: set[str] = set()
-        self._wait_policies: dict[str, wait_policy.WaitPolicy] = {}
         self._running_probes: dict[str, asyncio.Task[None]] = {}
 
     def queue(self, service: str) -> wait_queue.WaitQueue:
         """Returns the wait queue of a service, created on first use."""
-        return self._queues.setdefault(service, wait_queue.WaitQueue())
+        return self._overload_queue(service).queue
 
     def crowding_of(self, service: str) -> crowding.Crowding:
         """Returns the measured slowdown of a service's nearly full servers."""
@@ -119,76 +115,31 @@
         Returns:
             The server, or the reason why there is none.
         """
-        queue = self.queue(request.service)
         if not self._candidates(request):
             return placement_requests.Rejection(
                 placement_requests.RejectionReason.NO_SERVER,
                 self._no_server_retry_s(),
             )
-        policy = self._wait_policy(request.service)
-        step = policy.first_step(request, queue.length, self._clock())
-        if step is wait_policy.Step.SEARCH:
-            backend = await self._find_backend(request)
-            if backend is not None:
-                return self._record_placement(request, backend)
-            step = policy.next_step(request, queue.length, self._clock())
-        if step is wait_policy.Step.REJECT or not await queue.acquire_turn(
-            request, self._clock()
-        ):
-            return self._reject_overloaded(request)
-        try:
-            return await self._wait_for_server(request, queue)
-        finally:
-            queue.release_turn()
+        return await self._overload_queue(request.service).place(request)
 
     def on_finished(self, backend: backend_table.Backend) -> None:
         """Counts a request at a server as ended and wakes waiting requests."""
         backend.in_flight -= 1
         queue = self._queues.get(backend.entry.service)
         if queue is not None:
-            queue.on_slot_freed()
-
-    async def _wait_for_server(
-        self,
-        request: placement_requests.PlacementRequest,
-        queue: wait_queue.WaitQueue,
-    ) -> backend_table.Backend | placement_requests.Rejection:
-        while True:
-            backend = await self._find_backend(request)
-            if backend is not None:
-                return self._record_placement(request, backend)
-            if self._clock() + _POLL_S > request.wait_deadline_s:
-                return self._reject_overloaded(request)
-            await queue.wait_until_freed(_POLL_S)
-
-    def _record_placement(
-        self,
-        request: placement_requests.PlacementRequest,
-        backend: backend_table.Backend,
-    ) -> backend_table.Backend:
-        now_s = self._clock()
-        backend.on_dispatch(now_s)
-        self._wait_policy(request.service).on_dispatch(now_s)
-        return backend
-
-    def _reject_overloaded(
-        self, request: placement_requests.PlacementRequest
-    ) -> placement_requests.Rejection:
-        now_s = self._clock()
-        policy = self._wait_policy(request.service)
-        policy.on_rejected(request, now_s)
-        retry_after_s = policy.retry_after_s(
-            self.queue(request.service).length, now_s, self._rng
-        )
-        return placement_requests.Rejection(
-            placement_requests.RejectionReason.OVERLOADED, retry_after_s
-        )
+            queue.queue.on_slot_freed()
 
     def _no_server_retry_s(self) -> float:
         return _NO_SERVER_RETRY_S * self._rng.uniform(0.6, 1.4)
 
-    def _wait_policy(self, service: str) -> wait_policy.WaitPolicy:
-        return self._wait_policies.setdefault(service, wait_policy.WaitPolicy())
+    def _overload_queue(self, service: str) -> overload_queue.OverloadQueue:
+        found = self._queues.get(service)
+        if found is None:
+            found = overload_queue.OverloadQueue(
+                self._find_backend, self._clock, self._rng
+            )
+            self._queues[service] = found
+        return found
 
     async def _find_backend(
         self, request: placement_requests.PlacementRequest
@@ -269,7 +220,7 @@
         if end_s <= request.objective_s:
             return True
         is_alone = self.queue(request.service).length <= 1
-        return is_alone and now_s + _POLL_S > request.wait_deadline_s
+        return is_alone and now_s + overload_queue.POLL_S > request.wait_deadline_s
 
     async def _probe_round(
         self,
--- a/packages/entry/tests/test_wait_queue.py
+++ b/packages/entry/tests/test_wait_queue.py
@@ -2,16 +2,24 @@
 
 import asyncio
 
+import pytest
+
 from magnoliacrank.entry import placement_request
 from magnoliacrank.entry import wait_queue
+from magnoliacrank.policy import wait_order
 from magnoliacrank.standins import virtual_time
 
+Ending = wait_queue.Ending
+
+
+def _new_queue():
+    return wait_queue.WaitQueue(asyncio.get_running_loop().time)
+
 
-def _acquire_turn(queue, priority, asked_s, timeout_s, objective_s=10.0):
-    """Asks for a turn at time 0."""
+def _place(priority, asked_s, timeout_s, objective_s=10.0, customer=""):
     request = placement_request.PlacementRequest(
         service="svc",
-        customer="",
+        customer=customer,
         priority=priority,
         asked_s=asked_s,
         wait_deadline_s=timeout_s,
@@ -22,73 +30,125 @@
         work_s=0.1,
         objective_s=objective_s,
     )
-    return queue.acquire_turn(request, 0.0)
-
-
-def test_turns_are_granted_by_priority_and_age():
+    return wait_order.Place(request, request.is_late(0.0))
+
+
+async def _fill(queue, priority=0):
+    """Acquires all turns."""
+    return [
+        await queue.acquire_turn(_place(priority, 0.0, 1.0))
+        for _ in range(wait_queue.MAX_SEARCHING)
+    ]
+
+
+async def _order_of(queue, places):
+    """Returns the names of places in the order in which they get a turn."""
+    turns = await _fill(queue)
+    order = []
+
+    async def wait(name, place):
+        turn = await queue.acquire_turn(place)
+        assert isinstance(turn, wait_queue.Turn)
+        order.append(name)
+        await asyncio.sleep(0.01)
+        queue.release_turn(turn)
+
+    waits = [
+        asyncio.ensure_future(wait(name, place))
+        for name, place in places.items()
+    ]
+    await asyncio.sleep(0)
+    queue.release_turn(turns[0])
+    await asyncio.gather(*waits)
+    return order
+
+
+@pytest.mark.parametrize(
+    ("places", "expected"),
+    [
+        pytest.param(
+            {
+                "urgent, late": (0, 1.05, 5.0),
+                "other, early": (2, 0.5, 5.0),
+                "other, late": (2, 1.0, 5.0),
+            },
+            ["urgent, late", "other, early", "other, late"],
+            id="priority, then age",
+        ),
+        pytest.param(
+            {
+                "can't be in time": (0, -0.7, 5.0, 0.05),
+                "in time": (0, 0.0, 5.0, 0.6),
+            },
+            ["in time", "can't be in time"],
+            id="in time before late",
+        ),
+        pytest.param(
+            {
+                "flood 1": (0, 0.1, 5.0, 10.0, "a"),
+                "flood 2": (0, 0.2, 5.0, 10.0, "a"),
+                "flood 3": (0, 0.3, 5.0, 10.0, "a"),
+                "small": (0, 0.4, 5.0, 10.0, "b"),
+            },
+            ["flood 1", "small", "flood 2", "flood 3"],
+            id="customers in turn",
+        ),
+    ],
+)
+def test_turns_are_granted_in_order(places, expected):
     async def play():
-        queue = wait_queue.WaitQueue()
-        for _ in range(wait_queue.MAX_SEARCHING):
-            assert await _acquire_turn(queue, 0, 0.0, 1.0)
-        order = []
+        made = {name: _place(*values) for name, values in places.items()}
+        return await _order_of(_new_queue(), made)
 
-        async def wait(name, priority, arrived_s):
-            assert await _acquire_turn(queue, priority, arrived_s, 5.0)
-            order.append(name)
+    assert virtual_time.run(play()) == expected
 
-        waits = [
-            asyncio.ensure_future(wait("urgent, late", 0, 1.05)),
-            asyncio.ensure_future(wait("other, early", 2, 0.5)),
-            asyncio.ensure_future(wait("other, late", 2, 1.0)),
-        ]
-        await asyncio.sleep(0)
-        for _ in waits:
-            queue.release_turn()
-            await asyncio.sleep(0.01)
-        await asyncio.gather(*waits)
-        return order
-
-    order = virtual_time.run(play())
-    assert order == ["other, early", "urgent, late", "other, late"]
 
-
-def test_request_that_can_be_in_time_goes_before_a_late_one():
+def test_urgent_request_takes_the_turn_of_a_less_urgent_one():
     async def play():
-        queue = wait_queue.WaitQueue()
-        for _ in range(wait_queue.MAX_SEARCHING):
-            assert await _acquire_turn(queue, 0, 0.0, 1.0)
-        order = []
+        queue = _new_queue()
+        turns = await _fill(queue, priority=2)
+        urgent = _place(0, 0.5, 1.0)
+        assert queue.line(urgent).ahead == 0
+        assert isinstance(await queue.acquire_turn(urgent), wait_queue.Turn)
+        assert sum(turn.is_revoked for turn in turns) == 1
+        assert queue.line(urgent).ahead == 1
+        assert queue.length == wait_queue.MAX_SEARCHING
 
-        async def wait(name, asked_s, objective_s):
-            assert await _acquire_turn(queue, 0, asked_s, 5.0, objective_s)
-            order.append(name)
+    virtual_time.run(play())
 
+
+def test_less_urgent_request_is_told_at_once_that_it_gives_way():
+    async def play():
+        queue = _new_queue()
+        await _fill(queue)
         waits = [
-            asyncio.ensure_future(wait("late", -0.7, 0.05)),
-            asyncio.ensure_future(wait("in time", 0.0, 0.6)),
+            asyncio.ensure_future(queue.acquire_turn(_place(2, 0.0, 1.0)))
+            for _ in range(4)
         ]
+        await asyncio.sleep(0.1)
+        queue.make_way(
+            _place(0, 0.1, 1.0), lambda demand, line, now_s: line.ahead > 5
+        )
         await asyncio.sleep(0)
-        for _ in waits:
-            queue.release_turn()
-            await asyncio.sleep(0.01)
-        await asyncio.gather(*waits)
-        return order
+        ended = [wait.result() for wait in waits if wait.done()]
+        assert ended == [Ending.EVICTED] * 2
+        assert [await wait for wait in waits[:2]] == [Ending.TIMED_OUT] * 2
 
-    assert virtual_time.run(play()) == ["in time", "late"]
+    virtual_time.run(play())
 
 
 def test_timed_out_request_is_skipped():
     async def play():
-        queue = wait_queue.WaitQueue()
-        for _ in range(wait_queue.MAX_SEARCHING):
-            await _acquire_turn(queue, 0, 0.0, 1.0)
-        assert not await _acquire_turn(queue, 0, 0.0, 0.1)
-        later = asyncio.ensure_future(_acquire_turn(queue, 0, 0.5, 1.0))
+        queue = _new_queue()
+        turns = await _fill(queue)
+        early = await queue.acquire_turn(_place(0, 0.0, 0.1))
+        assert early is Ending.TIMED_OUT
+        later = asyncio.ensure_future(queue.acquire_turn(_place(0, 0.5, 1.0)))
         await asyncio.sleep(0)
-        queue.release_turn()
-        assert await later
-        for _ in range(wait_queue.MAX_SEARCHING):
-            queue.release_turn()
+        queue.release_turn(turns.pop())
+        turns.append(await later)
+        for turn in turns:
+            queue.release_turn(turn)
         assert queue.length == 0
 
     virtual_time.run(play())
@@ -96,15 +156,14 @@
 
 def test_cancelled_request_passes_its_turn_on():
     async def play():
-        queue = wait_queue.WaitQueue()
-        for _ in range(wait_queue.MAX_SEARCHING):
-            await _acquire_turn(queue, 0, 0.0, 1.0)
-        first = asyncio.ensure_future(_acquire_turn(queue, 0, 0.1, 1.0))
-        second = asyncio.ensure_future(_acquire_turn(queue, 0, 0.2, 1.0))
+        queue = _new_queue()
+        turns = await _fill(queue)
+        first = asyncio.ensure_future(queue.acquire_turn(_place(0, 0.1, 1.0)))
+        second = asyncio.ensure_future(queue.acquire_turn(_place(0, 0.2, 1.0)))
         await asyncio.sleep(0)
-        queue.release_turn()
+        queue.release_turn(turns.pop())
         first.cancel()
-        assert await second
+        assert isinstance(await second, wait_queue.Turn)
         await asyncio.gather(first, return_exceptions=True)
 
     virtual_time.run(play())
--- a/packages/policy/src/magnoliacrank/policy/admission.py
+++ b/packages/policy/src/magnoliacrank/policy/admission.py
@@ -95,7 +95,7 @@
                 all services on this instance.
         """
         self._allowances = allowances
-        self._queues = [
+        self._queues: list[fair_queue.FairQueue[fair_queue.Place]] = [
             fair_queue.FairQueue() for _ in range(_LOWEST_PRIORITY + 1)
         ]
         self._capacity = 0
--- a/packages/policy/src/magnoliacrank/policy/drain_estimate.py
+++ b/packages/policy/src/magnoliacrank/policy/drain_estimate.py
@@ -19,6 +19,9 @@
 _MIN_RATE_PER_S = 2.0
 """Dispatch rate that is assumed when there were fewer dispatches."""
 
+_LEAST_SHARE = 0.1
+"""Share of all dispatches that each priority is assumed to get at least."""
+
 _MIN_RETRY_AFTER_S = 0.6
 """Least time in seconds after which a caller refused for overload should retry,
 before jitter; one that retries sooner finds the same queue."""
@@ -31,37 +34,44 @@
     """Measures how fast this instance dispatches the requests of a service."""
 
     def __init__(self) -> None:
-        self._dispatch_times_s: collections.deque[float] = collections.deque()
+        self._dispatches: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
 
-    def on_dispatch(self, now_s: float) -> None:
+    def on_dispatch(self, now_s: float, priority: int = 0) -> None:
         """Counts a request that is dispatched to a backend server.
 
         Args:
             now_s: Current monotonic time in seconds.
+            priority: Priority of the request; 0 is the most urgent.
         """
-        self._dispatch_times_s.append(now_s)
+        self._dispatches.append((now_s, priority))
+
+    def rate_per_s(self, now_s: float, priority: int = 0) -> float:
+        """Returns the recent rate of dispatches that a priority can count on.
 
-    def rate_per_s(self, now_s: float) -> float:
-        """Returns the recent number of dispatches per second.
+        That is what more urgent requests leave, since those that arrive later
+        go first.
 
         Args:
             now_s: Current monotonic time in seconds.
+            priority: The priority; 0 is the most urgent.
         """
-        while (
-            self._dispatch_times_s
-            and self._dispatch_times_s[0] < now_s - _WINDOW_S
-        ):
-            self._dispatch_times_s.popleft()
-        return max(len(self._dispatch_times_s) / _WINDOW_S, _MIN_RATE_PER_S)
-
-    def wait_s(self, ahead: int, now_s: float) -> float:
+        while self._dispatches and self._dispatches[0][0] < now_s - _WINDOW_S:
+            self._dispatches.popleft()
+        left = sum(other >= priority for _, other in self._dispatches)
+        left = max(left, len(self._dispatches) * _LEAST_SHARE)
+        return max(left / _WINDOW_S, _MIN_RATE_PER_S)
+
+    def wait_s(self, ahead: int, now_s: float, priority: int = 0) -> float:
         """Returns the expected time in the queue in seconds.
 
         Args:
-            ahead: Number of requests that are dispatched earlier.
+            ahead: Number of queued requests that are dispatched earlier.
             now_s: Current monotonic time in seconds.
+            priority: Priority of the request that waits.
         """
-        return ahead / self.rate_per_s(now_s)
+        return ahead / self.rate_per_s(now_s, priority)
 
     def retry_after_s(
         self, ahead: int, now_s: float, rng: random.Random
--- a/packages/policy/src/magnoliacrank/policy/wait_policy.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_policy.py
@@ -6,6 +6,10 @@
 that was refused and comes back too late for that takes a slot only where none
 of the others needs it: it is served late in any case, and would make another
 request late as well.
+
+The wait is estimated from what goes before a request in the queue's own order:
+a queue of less urgent requests turns no urgent one away. Each of those is told
+to give way once the requests before it leave it no time.
 """
 
 from __future__ import annotations
@@ -14,6 +18,8 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+import attrs
+
 from magnoliacrank.policy import drain_estimate
 
 if TYPE_CHECKING:
@@ -27,6 +33,12 @@
 """Number of queued requests from which servers count as short."""
 
 
+_GIVE_WAY_FACTOR = 1.25
+"""Estimated wait, relative to the time left, from which a waiting request gives
+way. The margin covers what the estimate varies by: a request that was let in
+isn't turned out for the next few dispatches."""
+
+
 class Step(enum.Enum):
     """What happens to a request that needs a server."""
 
@@ -40,9 +52,63 @@
     """It is rejected at once."""
 
 
+class Cause(enum.Enum):
+    """What decided on a request that is rejected."""
+
+    LATE = "late"
+    """It can't be in time, and those that can need all servers."""
+
+    WAIT_TOO_LONG = "wait-too-long"
+    """More requests go before it than are dispatched in the time it has."""
+
+    MAY_NOT_WAIT = "may-not-wait"
+    """No server is free, and it is only of use at once."""
+
+    TIME_IS_UP = "time-is-up"
+    """It waited, and got no server by its deadline for waiting."""
+
+    GAVE_WAY = "gave-way"
+    """It waited, and others that go before it took the time that it had."""
+
+
+@attrs.frozen
+class Line:
+    """The queue of a service, as one request sees it."""
+
+    ahead: int = 0
+    """Number of requests that go before it."""
+
+    waiting: int = 0
+    """Number of all requests in the queue."""
+
+
+@attrs.frozen
+class Decision:
+    """What happens to a request, and the figures behind it."""
+
+    step: Step
+    """What happens to it."""
+
+    cause: Cause | None
+    """Why it is rejected; None if it isn't."""
+
+    ahead: int
+    """Number of requests that go before it."""
+
+    wait_s: float
+    """Estimated time in seconds until it would get a server."""
+
+    left_s: float
+    """Time in seconds for which it may wait."""
+
+
 class Demand(Protocol):
     """What a request asks of its placement."""
 
+    @property
+    def priority(self) -> int:
+        """Priority; 0 is the most urgent."""
+
     @property
     def may_wait(self) -> bool:
         """Whether it may queue if no server is free now."""
@@ -62,38 +128,69 @@
         self._drain = drain_estimate.DrainEstimate()
         self._short_until_s = float("-inf")
 
-    def first_step(self, demand: Demand, queued: int, now_s: float) -> Step:
+    def on_arrival(self, demand: Demand, line: Line, now_s: float) -> Decision:
         """Decides on a request that has just arrived.
 
         Args:
             demand: The request.
-            queued: Number of requests in the queue.
+            line: The queue.
             now_s: Current monotonic time in seconds.
         """
-        if demand.is_late(now_s) and self._is_short(queued, now_s):
-            return Step.REJECT
-        if not queued or not demand.may_wait:
-            return Step.SEARCH
-        return self.next_step(demand, queued, now_s)
-
-    def next_step(self, demand: Demand, queued: int, now_s: float) -> Step:
+        if demand.is_late(now_s) and self._is_short(line.waiting, now_s):
+            return self._decide(demand, line, now_s, Cause.LATE)
+        if not line.ahead or not demand.may_wait:
+            return attrs.evolve(
+                self._decide(demand, line, now_s, None), step=Step.SEARCH
+            )
+        return self.on_busy(demand, line, now_s)
+
+    def on_busy(self, demand: Demand, line: Line, now_s: float) -> Decision:
         """Decides on a request for which no server was free.
 
         Args:
             demand: The request.
-            queued: Number of requests in the queue.
+            line: The queue.
+            now_s: Current monotonic time in seconds.
+        """
+        left_s = demand.wait_deadline_s - now_s
+        cause = None
+        if not demand.may_wait:
+            cause = Cause.MAY_NOT_WAIT
+        elif left_s <= 0:
+            cause = Cause.TIME_IS_UP
+        elif self._wait_s(demand, line, now_s) > left_s:
+            cause = Cause.WAIT_TOO_LONG
+        return self._decide(demand, line, now_s, cause)
+
+    def on_removed(
+        self, demand: Demand, line: Line, now_s: float, cause: Cause
+    ) -> Decision:
+        """Returns the rejection of a request that leaves the queue.
+
+        Args:
+            demand: The request.
+            line: The queue without it.
+            now_s: Current monotonic time in seconds.
+            cause: Why it leaves.
+        """
+        return self._decide(demand, line, now_s, cause)
+
+    def should_give_way(
+        self, demand: Demand, line: Line, now_s: float
+    ) -> bool:
+        """Whether a waiting request is told at once that it won't be served.
+
+        Args:
+            demand: The request.
+            line: The queue without it; all of its level go before it.
             now_s: Current monotonic time in seconds.
         """
         left_s = demand.wait_deadline_s - now_s
-        if not demand.may_wait or left_s <= 0:
-            return Step.REJECT
-        if self._drain.wait_s(queued, now_s) > left_s:
-            return Step.REJECT
-        return Step.WAIT
+        return self._wait_s(demand, line, now_s) > left_s * _GIVE_WAY_FACTOR
 
-    def on_dispatch(self, now_s: float) -> None:
+    def on_dispatch(self, demand: Demand, now_s: float) -> None:
         """Records that a request of the service was placed."""
-        self._drain.on_dispatch(now_s)
+        self._drain.on_dispatch(now_s, demand.priority)
 
     def on_rejected(self, demand: Demand, now_s: float) -> None:
         """Records a rejection for lack of servers.
@@ -116,5 +213,19 @@
         """
         return self._drain.retry_after_s(queued, now_s, rng)
 
-    def _is_short(self, queued: int, now_s: float) -> bool:
-        return queued >= _SHORT_QUEUE or now_s < self._short_until_s
+    def _decide(
+        self, demand: Demand, line: Line, now_s: float, cause: Cause | None
+    ) -> Decision:
+        return Decision(
+            Step.WAIT if cause is None else Step.REJECT,
+            cause,
+            line.ahead,
+            self._wait_s(demand, line, now_s),
+            demand.wait_deadline_s - now_s,
+        )
+
+    def _wait_s(self, demand: Demand, line: Line, now_s: float) -> float:
+        return self._drain.wait_s(line.ahead, now_s, demand.priority)
+
+    def _is_short(self, waiting: int, now_s: float) -> bool:
+        return waiting >= _SHORT_QUEUE or now_s < self._short_until_s
--- a/packages/policy/tests/test_wait_policy.py
+++ b/packages/policy/tests/test_wait_policy.py
@@ -17,6 +17,7 @@
     """A request of 0.2 s of work and an objective of 0.6 s."""
 
     asked_s: float = 0.0
+    priority: int = 0
     may_wait: bool = True
     work_s: float = 0.2
     transfer_bytes: int = 0
@@ -37,24 +38,29 @@
     """Returns a policy whose service dispatches 50 requests a second."""
     policy = wait_policy.WaitPolicy()
     for number in range(50):
-        policy.on_dispatch(10.0 + number / 50)
+        policy.on_dispatch(Demand(), 10.0 + number / 50)
     return policy
 
 
+def _line(ahead):
+    """Returns a queue whose requests all go before the one that asks."""
+    return wait_policy.Line(ahead, ahead)
+
+
 def test_late_caller_is_rejected_while_servers_are_short():
     policy = _busy_policy()
     late, in_time = Demand(asked_s=10.3), Demand(asked_s=11.0)
-    assert policy.first_step(late, 0, 11.0) is Step.SEARCH
+    assert policy.on_arrival(late, _line(0), 11.0).step is Step.SEARCH
     policy.on_rejected(in_time, 11.0)
-    assert policy.first_step(late, 0, 11.1) is Step.REJECT
-    assert policy.first_step(in_time, 0, 11.1) is Step.SEARCH
-    assert policy.first_step(late, 0, 11.5) is Step.SEARCH
+    assert policy.on_arrival(late, _line(0), 11.1).step is Step.REJECT
+    assert policy.on_arrival(in_time, _line(0), 11.1).step is Step.SEARCH
+    assert policy.on_arrival(late, _line(0), 11.5).step is Step.SEARCH
 
 
 def test_late_caller_is_rejected_while_others_queue():
     policy = _busy_policy()
-    assert policy.first_step(Demand(asked_s=10.3), 5, 11.0) is Step.REJECT
-    assert policy.first_step(Demand(asked_s=11.0), 5, 11.0) is Step.WAIT
+    assert policy.on_arrival(Demand(asked_s=10.3), _line(5), 11.0).step is Step.REJECT
+    assert policy.on_arrival(Demand(asked_s=11.0), _line(5), 11.0).step is Step.WAIT
 
 
 @pytest.mark.parametrize(
@@ -67,20 +73,20 @@
 def test_rejection_of_others_does_not_make_servers_short(demand):
     policy = _busy_policy()
     policy.on_rejected(demand, 11.0)
-    assert policy.first_step(Demand(asked_s=10.3), 0, 11.1) is Step.SEARCH
+    assert policy.on_arrival(Demand(asked_s=10.3), _line(0), 11.1).step is Step.SEARCH
 
 
 def test_request_is_rejected_on_arrival_if_the_queue_is_too_long():
     policy = _busy_policy()
-    assert policy.first_step(Demand(asked_s=11.0), 15, 11.0) is Step.WAIT
-    assert policy.first_step(Demand(asked_s=11.0), 30, 11.0) is Step.REJECT
+    assert policy.on_arrival(Demand(asked_s=11.0), _line(15), 11.0).step is Step.WAIT
+    assert policy.on_arrival(Demand(asked_s=11.0), _line(30), 11.0).step is Step.REJECT
 
 
 def test_hedge_never_waits():
     policy = _busy_policy()
     hedge = Demand(asked_s=11.0, may_wait=False)
-    assert policy.first_step(hedge, 2, 11.0) is Step.SEARCH
-    assert policy.next_step(hedge, 2, 11.0) is Step.REJECT
+    assert policy.on_arrival(hedge, _line(2), 11.0).step is Step.SEARCH
+    assert policy.on_busy(hedge, _line(2), 11.0).step is Step.REJECT
 
 
 def _learned(timeouts_s):
