--- a/packages/cli/src/magnoliacrank/cli/explain.py
+++ b/packages/cli/src/magnoliacrank/cli/explain.py
@@ -84,6 +84,8 @@
     output = []
     for fields in history.lines:
         output.append(_format_line(fields))
+        if "ahead" in fields:
+            output.append(_format_decision(fields))
         output += _format_spans(fields.get("spans"))
     if not output:
         output.append("no line names this request")
@@ -121,6 +123,18 @@
     )
 
 
+def _format_decision(fields: dict[str, Any]) -> str:
+    """Returns what decided on a refused request as a line of text."""
+    customer = fields.get("customer") or "unknown"
+    return (
+        f"    {fields.get('decided_by', '?')}: {fields['ahead']} requests of "
+        f"{fields.get('service', '?')} go before priority "
+        f"{fields.get('priority', '?')} of customer {customer}; they take "
+        f"{fields.get('wait_s', '?')} s, and it has "
+        f"{fields.get('left_s', '?')} s to wait"
+    )
+
+
 def _format_spans(spans: object) -> list[str]:
     """Returns one indented line of text for each span of a request."""
     if not isinstance(spans, list):
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -44,6 +44,20 @@
     assert "spans" not in shown[0]
 
 
+def test_history_tells_what_decided_on_a_refusal():
+    line = (
+        '{"time": "1", "event": "request refused", "request_id": "r1", '
+        '"service": "desk", "priority": 0, "customer": "acme", "decided_by": '
+        '"wait-too-long", "ahead": 12, "wait_s": 0.4, "left_s": 0.08}'
+    )
+    shown = explain.format_history(explain.read_history([line], "r1"))
+    assert "decided_by=wait-too-long" in shown[0]
+    assert shown[1] == (
+        "    wait-too-long: 12 requests of desk go before priority 0 of "
+        "customer acme; they take 0.4 s, and it has 0.08 s to wait"
+    )
+
+
 def test_history_of_unknown_request_says_what_may_be_missing():
     history = explain.read_history(LINES, "r9")
     text = "\n".join(explain.format_history(history))
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
 
 from aiohttp import hdrs
 import attrs
@@ -55,6 +56,8 @@
     status: int
     reason: str
     retry_after_s: float | None = None
+    fields: dict[str, Any] = attrs.field(factory=dict)
+    """Further fields of its log line."""
 
 
 class EntryHandler:
@@ -238,6 +241,10 @@
         answer = result.answer
         if answer is None:
             refusal = _to_refusal(result, job, self._state.clock())
+            if result.decision is not None:
+                self._state.metrics.on_rejection(
+                    job.service, job.priority, result.decision.cause_code
+                )
             await self._refuse(exchange, refusal, job.rule, job.trace)
             return
         duration_s = self._state.clock() - job.arrived_s
@@ -295,6 +302,7 @@
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
             duration_s=round(duration_s, 4),
+            **refusal.fields,
             spans=trace.fields,
         )
         fields = [("Content-Type", "application/json")]
@@ -322,8 +330,29 @@
 def _to_refusal(
     result: request_carrier.RequestResult, job: jobs.Job, now_s: float
 ) -> _Refusal:
+    shown = _decision_fields(result, job)
     if result.verdict is Verdict.NOT_RUN:
-        return _Refusal(503, result.reason, result.retry_after_s)
+        return _Refusal(503, result.reason, result.retry_after_s, shown)
     # The request may have run, so the status must not promise that it didn't.
     status = 504 if now_s >= job.deadline_s else 502
-    return _Refusal(status, result.reason)
+    return _Refusal(status, result.reason, fields=shown)
+
+
+def _decision_fields(
+    result: request_carrier.RequestResult, job: jobs.Job
+) -> dict[str, Any]:
+    """Returns what decided on a request, as fields of its log line."""
+    shown: dict[str, Any] = {
+        "service": job.service,
+        "priority": job.priority,
+        "customer": job.customer,
+    }
+    decision = result.decision
+    if decision is None:
+        return shown | {"decided_by": result.end or result.reason}
+    return shown | {
+        "decided_by": decision.cause_code,
+        "ahead": decision.ahead,
+        "wait_s": round(decision.wait_s, 4),
+        "left_s": round(decision.left_s, 4),
+    }
--- a/packages/entry/src/magnoliacrank/entry/entry_metrics.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_metrics.py
@@ -28,6 +28,10 @@
         self._refusals = self._counter(
             "magnoliacrank_refusals_total", "Own refusals by reason."
         )
+        self._rejections = self._counter(
+            "magnoliacrank_rejections_total",
+            "Requests rejected for lack of servers, by service and priority.",
+        )
         self._gauges = self._gauge(
             "magnoliacrank_state", "Ages in seconds and counts by name."
         )
@@ -64,6 +68,18 @@
         """Counts a request that this instance refused."""
         self._refusals.inc({"reason": reason})
 
+    def on_rejection(self, service: str, priority: int, cause: str) -> None:
+        """Counts a request that was rejected for lack of servers.
+
+        Args:
+            service: Name of its service.
+            priority: Its priority; 0 is the most urgent.
+            cause: What decided, as in the log line of the refusal.
+        """
+        self._rejections.inc(
+            {"service": service, "priority": str(priority), "cause": cause}
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in Prometheus' text format."""
         for name, source in self._gauge_sources.items():
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -220,7 +220,9 @@
         if end_s <= request.objective_s:
             return True
         is_alone = self.queue(request.service).length <= 1
-        return is_alone and now_s + overload_queue.POLL_S > request.wait_deadline_s
+        return (
+            is_alone and now_s + overload_queue.POLL_S > request.wait_deadline_s
+        )
 
     async def _probe_round(
         self,
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -20,6 +20,7 @@
 from magnoliacrank.entry import request_trace
 from magnoliacrank.policy import repeat_budget
 from magnoliacrank.policy import version_trial
+from magnoliacrank.policy import wait_policy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,6 +69,13 @@
     retry_after_s: float = 0.0
     """Seconds after which the caller should retry."""
 
+    decision: wait_policy.Decision | None = None
+    """What decided on its last placement, if that was rejected."""
+
+    end: str = ""
+    """Short code of why it isn't sent to another server; empty if it was
+    answered or never sent."""
+
 
 class RequestCarrier:
     """Forwards one request to backend servers; an object serves one request.
@@ -88,6 +96,7 @@
         self._may_have_run = False
         self._failure_answer: backend_link.WholeAnswer | None = None
         self._reason = "no-server"
+        self._end = ""
         self._to_new_version = False
         self._load_test: int | None = None
 
@@ -123,12 +132,14 @@
         if isinstance(found, placement_requests.Rejection):
             trace.end(placing, found.reason.value)
             self._state.load_meter.on_rejected(self._job.service, self._clock())
+            self._end = found.reason.value
             if self.has_been_sent or self._refusals:
-                return self._final_result(found.retry_after_s)
+                return self._final_result(found.retry_after_s, found.decision)
             return RequestResult(
                 Verdict.NOT_RUN,
                 found.reason.value,
                 retry_after_s=found.retry_after_s,
+                decision=found.decision,
             )
         trace.end(placing, "found")
         self._state.load_meter.on_placed(self._job.service, self._clock())
@@ -157,15 +168,20 @@
         job = self._job
         now_s = self._clock()
         ran = self._may_have_run or self._failure_answer is not None
-        if ran and not job.is_idempotent:
-            return False
-        if self._sent_count >= job.rule.max_attempts and ran:
-            return False
-        if self._refusals > _MAX_REFUSALS or now_s >= job.deadline_s:
-            return False
-        if self._state.crashes.is_blocked(job.fingerprint, now_s):
-            return False
-        return self._take_retry()
+        obstacles = {
+            "not-idempotent": ran and not job.is_idempotent,
+            "attempts": ran and self._sent_count >= job.rule.max_attempts,
+            "refusals": self._refusals > _MAX_REFUSALS,
+            "deadline": now_s >= job.deadline_s,
+            "crashes-servers": self._state.crashes.is_blocked(
+                job.fingerprint, now_s
+            ),
+        }
+        ends = [end for end, applies in obstacles.items() if applies]
+        if not ends and not self._take_retry():
+            ends = ["retry-budget"]
+        self._end = ends[0] if ends else ""
+        return not ends
 
     def _take_retry(self) -> bool:
         job = self._job
@@ -174,16 +190,27 @@
         return self._state.try_retry(job.service, urgency)
 
     def _final_result(
-        self, retry_after_s: float = _REFUSED_RETRY_AFTER_S
+        self,
+        retry_after_s: float = _REFUSED_RETRY_AFTER_S,
+        decision: wait_policy.Decision | None = None,
     ) -> RequestResult:
         if self._failure_answer is not None:
             return RequestResult(
-                Verdict.FAILED, self._reason, self._failure_answer
+                Verdict.FAILED,
+                self._reason,
+                self._failure_answer,
+                end=self._end,
             )
         if self._may_have_run:
-            return RequestResult(Verdict.MAY_HAVE_RUN, self._reason)
+            return RequestResult(
+                Verdict.MAY_HAVE_RUN, self._reason, end=self._end
+            )
         return RequestResult(
-            Verdict.NOT_RUN, self._reason, retry_after_s=retry_after_s
+            Verdict.NOT_RUN,
+            self._reason,
+            retry_after_s=retry_after_s,
+            decision=decision,
+            end=self._end,
         )
 
     def _chooses_new_version(self) -> bool:
--- a/packages/policy/src/magnoliacrank/policy/drain_estimate.py
+++ b/packages/policy/src/magnoliacrank/policy/drain_estimate.py
@@ -59,9 +59,9 @@
         """
         while self._dispatches and self._dispatches[0][0] < now_s - _WINDOW_S:
             self._dispatches.popleft()
-        left = sum(other >= priority for _, other in self._dispatches)
-        left = max(left, len(self._dispatches) * _LEAST_SHARE)
-        return max(left / _WINDOW_S, _MIN_RATE_PER_S)
+        count = sum(other >= priority for _, other in self._dispatches)
+        least = len(self._dispatches) * _LEAST_SHARE
+        return max(max(count, least) / _WINDOW_S, _MIN_RATE_PER_S)
 
     def wait_s(self, ahead: int, now_s: float, priority: int = 0) -> float:
         """Returns the expected time in the queue in seconds.
--- a/packages/policy/src/magnoliacrank/policy/fair_queue.py
+++ b/packages/policy/src/magnoliacrank/policy/fair_queue.py
@@ -34,7 +34,6 @@
     started_s: float | None = None
     """Monotonic time in seconds of the admission; None if not in flight."""
 
-
     @property
     def customer(self) -> ids.CustomerId:
         """Customer that the request belongs to."""
--- a/packages/policy/src/magnoliacrank/policy/wait_order.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_order.py
@@ -27,7 +27,7 @@
 
 
 class Demand(Protocol):
-    """What the order needs to know of a request."""
+    """What a request asks of its placement."""
 
     @property
     def customer(self) -> str:
@@ -41,6 +41,10 @@
     def asked_s(self) -> float:
         """Monotonic time in seconds of the caller's first attempt."""
 
+    @property
+    def may_wait(self) -> bool:
+        """Whether it may queue if no server is free now."""
+
     @property
     def wait_deadline_s(self) -> float:
         """Monotonic time in seconds until which the request may wait."""
--- a/packages/policy/src/magnoliacrank/policy/wait_policy.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_policy.py
@@ -16,7 +16,6 @@
 
 import enum
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 import attrs
 
@@ -25,6 +24,8 @@
 if TYPE_CHECKING:
     import random
 
+    from magnoliacrank.policy import wait_order
+
 _SHORTAGE_S = 0.3
 """Time in seconds after a rejection for lack of servers during which servers
 still count as short; slots are freed and taken again within it."""
@@ -101,24 +102,10 @@
     left_s: float
     """Time in seconds for which it may wait."""
 
-
-class Demand(Protocol):
-    """What a request asks of its placement."""
-
     @property
-    def priority(self) -> int:
-        """Priority; 0 is the most urgent."""
-
-    @property
-    def may_wait(self) -> bool:
-        """Whether it may queue if no server is free now."""
-
-    @property
-    def wait_deadline_s(self) -> float:
-        """Monotonic time in seconds until which it may wait."""
-
-    def is_late(self, now_s: float) -> bool:
-        """Whether an answer can no longer meet its latency objective."""
+    def cause_code(self) -> str:
+        """Short code of the cause, for log lines; empty if there is none."""
+        return "" if self.cause is None else self.cause.value
 
 
 class WaitPolicy:
@@ -128,7 +115,9 @@
         self._drain = drain_estimate.DrainEstimate()
         self._short_until_s = float("-inf")
 
-    def on_arrival(self, demand: Demand, line: Line, now_s: float) -> Decision:
+    def on_arrival(
+        self, demand: wait_order.Demand, line: Line, now_s: float
+    ) -> Decision:
         """Decides on a request that has just arrived.
 
         Args:
@@ -144,7 +133,9 @@
             )
         return self.on_busy(demand, line, now_s)
 
-    def on_busy(self, demand: Demand, line: Line, now_s: float) -> Decision:
+    def on_busy(
+        self, demand: wait_order.Demand, line: Line, now_s: float
+    ) -> Decision:
         """Decides on a request for which no server was free.
 
         Args:
@@ -163,7 +154,7 @@
         return self._decide(demand, line, now_s, cause)
 
     def on_removed(
-        self, demand: Demand, line: Line, now_s: float, cause: Cause
+        self, demand: wait_order.Demand, line: Line, now_s: float, cause: Cause
     ) -> Decision:
         """Returns the rejection of a request that leaves the queue.
 
@@ -176,7 +167,7 @@
         return self._decide(demand, line, now_s, cause)
 
     def should_give_way(
-        self, demand: Demand, line: Line, now_s: float
+        self, demand: wait_order.Demand, line: Line, now_s: float
     ) -> bool:
         """Whether a waiting request is told at once that it won't be served.
 
@@ -188,11 +179,11 @@
         left_s = demand.wait_deadline_s - now_s
         return self._wait_s(demand, line, now_s) > left_s * _GIVE_WAY_FACTOR
 
-    def on_dispatch(self, demand: Demand, now_s: float) -> None:
+    def on_dispatch(self, demand: wait_order.Demand, now_s: float) -> None:
         """Records that a request of the service was placed."""
         self._drain.on_dispatch(now_s, demand.priority)
 
-    def on_rejected(self, demand: Demand, now_s: float) -> None:
+    def on_rejected(self, demand: wait_order.Demand, now_s: float) -> None:
         """Records a rejection for lack of servers.
 
         Servers are short if the request could have been in time and would have
@@ -214,7 +205,11 @@
         return self._drain.retry_after_s(queued, now_s, rng)
 
     def _decide(
-        self, demand: Demand, line: Line, now_s: float, cause: Cause | None
+        self,
+        demand: wait_order.Demand,
+        line: Line,
+        now_s: float,
+        cause: Cause | None,
     ) -> Decision:
         return Decision(
             Step.WAIT if cause is None else Step.REJECT,
@@ -224,7 +219,9 @@
             demand.wait_deadline_s - now_s,
         )
 
-    def _wait_s(self, demand: Demand, line: Line, now_s: float) -> float:
+    def _wait_s(
+        self, demand: wait_order.Demand, line: Line, now_s: float
+    ) -> float:
         return self._drain.wait_s(line.ahead, now_s, demand.priority)
 
     def _is_short(self, waiting: int, now_s: float) -> bool:
--- a/packages/policy/tests/test_wait_policy.py
+++ b/packages/policy/tests/test_wait_policy.py
@@ -59,8 +59,14 @@
 
 def test_late_caller_is_rejected_while_others_queue():
     policy = _busy_policy()
-    assert policy.on_arrival(Demand(asked_s=10.3), _line(5), 11.0).step is Step.REJECT
-    assert policy.on_arrival(Demand(asked_s=11.0), _line(5), 11.0).step is Step.WAIT
+    assert (
+        policy.on_arrival(Demand(asked_s=10.3), _line(5), 11.0).step
+        is Step.REJECT
+    )
+    assert (
+        policy.on_arrival(Demand(asked_s=11.0), _line(5), 11.0).step
+        is Step.WAIT
+    )
 
 
 @pytest.mark.parametrize(
@@ -73,13 +79,22 @@
 def test_rejection_of_others_does_not_make_servers_short(demand):
     policy = _busy_policy()
     policy.on_rejected(demand, 11.0)
-    assert policy.on_arrival(Demand(asked_s=10.3), _line(0), 11.1).step is Step.SEARCH
+    assert (
+        policy.on_arrival(Demand(asked_s=10.3), _line(0), 11.1).step
+        is Step.SEARCH
+    )
 
 
 def test_request_is_rejected_on_arrival_if_the_queue_is_too_long():
     policy = _busy_policy()
-    assert policy.on_arrival(Demand(asked_s=11.0), _line(15), 11.0).step is Step.WAIT
-    assert policy.on_arrival(Demand(asked_s=11.0), _line(30), 11.0).step is Step.REJECT
+    assert (
+        policy.on_arrival(Demand(asked_s=11.0), _line(15), 11.0).step
+        is Step.WAIT
+    )
+    assert (
+        policy.on_arrival(Demand(asked_s=11.0), _line(30), 11.0).step
+        is Step.REJECT
+    )
 
 
 def test_hedge_never_waits():
