--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -264,6 +264,7 @@
             is_mesh_member=self._protocol.is_member(now_s),
         )
         self._roster.set_own(fact)
+        self._state.agree_levels(now_s)
         view = self._view
         return heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
@@ -405,6 +406,7 @@
             "task_failures",
             lambda: self.log.warning_count(owned_task.FAILURE_EVENT),
         )
+        metrics.add_gauge("admitted_priority", self._state.admitted_priority)
         metrics.add_gauge("read_errors", lambda: self._reader.read_errors)
         metrics.add_gauge(
             "unreadable_records", lambda: self._view.unreadable_records
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliacrank.policy import admission_level
 from magnoliacrank.policy import crash_register
 from magnoliacrank.policy import repeat_budget
 from magnoliacrank.policy import service_load
@@ -84,13 +85,37 @@
             now_s: Clock time in seconds.
         """
         loads = (
-            self.load_meter.load(
-                service, self.placer.queue(service).length, now_s
-            )
+            self._own_load(service, now_s)
             for service in self.load_meter.services()
         )
         return [load for load in loads if load.demand_per_s or load.waiting]
 
+    def agree_levels(self, now_s: float) -> None:
+        """Renews the level at which each service is short at all instances.
+
+        To be called with each heartbeat: without it, the levels lapse.
+
+        Args:
+            now_s: Clock time in seconds.
+        """
+        for service in self.load_meter.services():
+            others = self.peer_loads.loads(service, now_s)
+            level = admission_level.agreed_level(
+                self._own_load(service, now_s), (load for _, load in others)
+            )
+            self.placer.level(service).agree(level, now_s)
+
+    def admitted_priority(self) -> int:
+        """Returns the most urgent level at which any service is short."""
+        now_s = self.clock()
+        return min(
+            (
+                self.placer.level(service).level(now_s)
+                for service in self.load_meter.services()
+            ),
+            default=service_load.LOWEST_PRIORITY,
+        )
+
     def allowance(self, service: str) -> repeat_budget.RepeatBudget:
         """Returns the retry budget of a service, created on first use."""
         allowance = self._repeat_budgets.get(service)
@@ -187,6 +212,14 @@
             self._cursors[rule.name] = cursor
         return cursor.next_service()
 
+    def _own_load(self, service: str, now_s: float) -> service_load.ServiceLoad:
+        return self.load_meter.load(
+            service,
+            self.placer.queue(service).length,
+            now_s,
+            self.placer.level(service).own_level(now_s),
+        )
+
     def _timeouts_of(
         self, rule: route_plan.RouteRule
     ) -> stated_timeouts.StatedTimeouts:
--- a/packages/entry/src/magnoliacrank/entry/overload_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/overload_queue.py
@@ -5,10 +5,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from magnoliacrank.entry import placement_request as placement_requests
 from magnoliacrank.entry import wait_queue
+from magnoliacrank.policy import admission_level
+from magnoliacrank.policy import return_schedule
 from magnoliacrank.policy import wait_order
 from magnoliacrank.policy import wait_policy
 
@@ -54,6 +57,7 @@
         self._find_backend = find_backend
         self._clock = clock
         self._rng = rng
+        self.level = admission_level.AdmissionLevel()
         self._policy = wait_policy.WaitPolicy()
 
     async def place(
@@ -73,11 +77,13 @@
             self.queue.order.shares.on_asked(request.priority, now_s)
         line = self.queue.line(place)
         decision = self._policy.on_arrival(request, line, now_s)
-        if decision.step is wait_policy.Step.SEARCH:
+        if decision.step is wait_policy.Step.SEARCH and (
+            not request.may_wait or not self._yields(request)
+        ):
             backend = await self._find_backend(request)
             if backend is not None:
                 return self._record_placement(request, backend)
-        elif decision.cause is Cause.LATE:
+        if decision.cause is Cause.LATE:
             return self._reject(request, decision)
         return await self._wait(request, place)
 
@@ -118,7 +124,13 @@
     ) -> backend_table.Backend | placement_requests.Rejection | None:
         """Searches until the turn is revoked; returns None then."""
         while True:
+            yields = self._yields(request)
+            if yields:
+                left_s = request.wait_deadline_s - self._clock()
+                await asyncio.sleep(self.level.yield_s(left_s))
             backend = await self._find_backend(request)
+            if yields:
+                self.level.on_search(found=backend is not None)
             if backend is not None:
                 return self._record_placement(request, backend)
             if self._clock() + POLL_S > request.wait_deadline_s:
@@ -127,7 +139,12 @@
                 )
             if turn.is_revoked:
                 return None
-            await self.queue.wait_until_freed(POLL_S)
+            if not yields:
+                await self.queue.wait_until_freed(POLL_S)
+
+    def _yields(self, request: placement_requests.PlacementRequest) -> bool:
+        """Whether more urgent requests lack servers, here or elsewhere."""
+        return request.priority > self.level.level(self._clock())
 
     def _take_place(self, place: wait_order.Place) -> bool:
         """Evicts a request of the customer with the most waiting, if fair."""
@@ -147,8 +164,19 @@
         self._policy.on_dispatch(request, now_s)
         if request.may_wait:
             self.queue.order.shares.on_placed(request.priority, now_s)
+            self._record_outcome(request, is_short=False)
         return backend
 
+    def _record_outcome(
+        self,
+        request: placement_requests.PlacementRequest,
+        *,
+        is_short: bool,
+    ) -> None:
+        now_s = self._clock()
+        if not request.is_late(now_s):
+            self.level.on_outcome(request.priority, now_s, is_short=is_short)
+
     def _reject_waiting(
         self,
         request: placement_requests.PlacementRequest,
@@ -168,8 +196,11 @@
     ) -> placement_requests.Rejection:
         now_s = self._clock()
         self._policy.on_rejected(request, now_s)
-        retry_after_s = self._policy.retry_after_s(
-            self.queue.length, now_s, self._rng
+        if request.may_wait:
+            self._record_outcome(request, is_short=True)
+        drain_s = self._policy.drain_s(self.queue.length, now_s)
+        retry_after_s = return_schedule.retry_after_s(
+            request, drain_s, now_s, self._rng
         )
         return placement_requests.Rejection(
             placement_requests.RejectionReason.OVERLOADED,
--- a/packages/entry/src/magnoliacrank/entry/placement_request.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import enum
+import math
 
 import attrs
 
@@ -73,6 +74,9 @@
     """Clock time in seconds up to which an answer meets the latency
     objective."""
 
+    deadline_s: float = math.inf
+    """Clock time in seconds until which the caller waits for an answer."""
+
     server_order: Callable[[str], int] | None = None
     """Sort key of server ids; if set, only the first server that is in good
     health may get the request."""
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -21,6 +21,7 @@
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import site_view
     from magnoliacrank.entry import wait_queue
+    from magnoliacrank.policy import admission_level
     from magnoliacrank.policy import instance_roster
 
 _PROBES_PER_ROUND = 3
@@ -96,6 +97,10 @@
         """Returns the wait queue of a service, created on first use."""
         return self._overload_queue(service).queue
 
+    def level(self, service: str) -> admission_level.AdmissionLevel:
+        """Returns the level at which a service is short."""
+        return self._overload_queue(service).level
+
     def crowding_of(self, service: str) -> crowding.Crowding:
         """Returns the measured slowdown of a service's nearly full servers."""
         return self._crowding.setdefault(service, crowding.Crowding())
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -273,6 +273,7 @@
             wants_new_version=wants_new_version,
             work_s=work_s,
             objective_s=job.objective_s,
+            deadline_s=job.deadline_s,
             server_order=server_order,
         )
 
--- a/packages/entry/src/magnoliacrank/entry/wait_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/wait_queue.py
@@ -135,6 +135,9 @@
         """
         now_s = self._clock()
         for other, before in self.order.last_of_each_level(place, now_s):
+            if other.level <= place.level:
+                # A priority that was hardly served goes first, but by itself.
+                continue
             # The new request counts as well.
             ahead = self._turns_before(other) + before + 1
             line = wait_policy.Line(ahead, self.length)
--- a/packages/policy/src/magnoliacrank/policy/drain_estimate.py
+++ b/packages/policy/src/magnoliacrank/policy/drain_estimate.py
@@ -1,17 +1,12 @@
-"""Estimates how fast the queue of a service drains, and a Retry-After time.
+"""Estimates how fast the queue of a service drains.
 
 Load pattern: more requests arrive than the backend servers can run. Requests
-that can't be served in time are refused on arrival, with the time after which
-capacity is expected.
+that can't be served in time are refused on arrival.
 """
 
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    import random
 
 _WINDOW_S = 1.0
 """Sliding window in which dispatches are counted, in seconds."""
@@ -22,13 +17,6 @@
 _LEAST_SHARE = 0.1
 """Share of all dispatches that each priority is assumed to get at least."""
 
-_MIN_RETRY_AFTER_S = 0.6
-"""Least time in seconds after which a caller refused for overload should retry,
-before jitter; one that retries sooner finds the same queue."""
-
-_MAX_RETRY_AFTER_S = 2.0
-"""Longest time in seconds after which a refused caller should retry."""
-
 
 class DrainEstimate:
     """Measures how fast this instance dispatches the requests of a service."""
@@ -72,16 +60,3 @@
             priority: Priority of the request that waits.
         """
         return ahead / self.rate_per_s(now_s, priority)
-
-    def retry_after_s(
-        self, ahead: int, now_s: float, rng: random.Random
-    ) -> float:
-        """Returns after how many seconds a refused caller should retry.
-
-        Args:
-            ahead: Number of queued requests.
-            now_s: Current monotonic time in seconds.
-            rng: Source of the jitter that keeps callers from retrying together.
-        """
-        wait_s = max(self.wait_s(ahead, now_s), _MIN_RETRY_AFTER_S)
-        return min(wait_s * rng.uniform(0.75, 1.5), _MAX_RETRY_AFTER_S)
--- a/packages/policy/src/magnoliacrank/policy/service_load.py
+++ b/packages/policy/src/magnoliacrank/policy/service_load.py
@@ -122,13 +122,20 @@
         """Counts a request that is rejected for lack of backend servers."""
         self._of(service).rejections.add(now_s)
 
-    def load(self, service: str, waiting: int, now_s: float) -> ServiceLoad:
+    def load(
+        self,
+        service: str,
+        waiting: int,
+        now_s: float,
+        admitted_priority: int = LOWEST_PRIORITY,
+    ) -> ServiceLoad:
         """Returns the load of a service at this instance.
 
         Args:
             service: Name of the service.
             waiting: Requests of the service that wait now.
             now_s: Current monotonic time in seconds.
+            admitted_priority: Largest priority number that is admitted here.
         """
         counters = self._of(service)
         return ServiceLoad(
@@ -138,6 +145,7 @@
             rejected_per_s=counters.rejections.per_s(now_s),
             work_s=counters.work_s,
             waiting=waiting,
+            admitted_priority=admitted_priority,
         )
 
     def services(self) -> list[str]:
--- a/packages/policy/src/magnoliacrank/policy/wait_policy.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_policy.py
@@ -22,8 +22,6 @@
 from magnoliacrank.policy import drain_estimate
 
 if TYPE_CHECKING:
-    import random
-
     from magnoliacrank.policy import wait_order
 
 _SHORTAGE_S = 0.3
@@ -192,17 +190,14 @@
         if demand.may_wait and not demand.is_late(now_s):
             self._short_until_s = now_s + _SHORTAGE_S
 
-    def retry_after_s(
-        self, queued: int, now_s: float, rng: random.Random
-    ) -> float:
-        """Returns after how many seconds a rejected caller should retry.
+    def drain_s(self, waiting: int, now_s: float) -> float:
+        """Returns the time in seconds until the whole queue is served.
 
         Args:
-            queued: Number of requests in the queue.
+            waiting: Number of requests in the queue.
             now_s: Current monotonic time in seconds.
-            rng: Source of jitter.
         """
-        return self._drain.retry_after_s(queued, now_s, rng)
+        return self._drain.wait_s(waiting, now_s)
 
     def _decide(
         self,
--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -277,10 +277,7 @@
     for step in range(50):
         drain.on_dispatch(step / 50)
     assert drain.wait_s(25, 1.0) == pytest.approx(0.5, rel=0.1)
-    spread = random.Random(1)
-    values = {drain.retry_after_s(25, 1.0, spread) for _ in range(20)}
-    assert len(values) > 10
-    assert all(0.1 <= value <= 2.0 for value in values)
+    assert drain.wait_s(25, 1.0, priority=1) == pytest.approx(5.0, rel=0.1)
 
 
 @pytest.mark.parametrize(
