Spend repeats by urgency and on callers that came back

A quarter of the budget was kept for routes of the highest priority of the whole configuration, whether the service has any; now a part is kept by the share of more urgent requests the service really gets, up to a quarter. Callers that weren't refused before may come back for nothing (the return is a new request), so repeats are kept for those that came back and would be lost.

--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -241,6 +241,10 @@
         answer = result.answer
         if answer is None:
             refusal = _to_refusal(result, job, self._state.clock())
+            if result.verdict is Verdict.NOT_RUN:
+                self._state.returns.on_refused(
+                    job.fingerprint, self._state.clock()
+                )
             if result.decision is not None:
                 self._state.metrics.on_rejection(
                     job.service, job.priority, result.decision.cause_code
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -303,8 +303,7 @@
         self._protocol.on_store_read(self._clock())
 
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
-        """Applies a new configuration's priorities and limits on callers."""
-        self._state.highest_priority = plan.highest_priority
+        """Applies a new configuration's limits on callers."""
         limits = plan.limits
         self._front.set_limits(
             front_limits.FrontLimits(
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -7,6 +7,7 @@
 from magnoliacrank.policy import admission_level
 from magnoliacrank.policy import crash_register
 from magnoliacrank.policy import repeat_budget
+from magnoliacrank.policy import return_register
 from magnoliacrank.policy import service_load
 from magnoliacrank.policy import stated_timeouts
 from magnoliacrank.policy import weighted_round_robin
@@ -66,7 +67,7 @@
         self.placer = placer
         self.trials = trials
         self.crashes = crash_register.CrashRegister()
-        self.highest_priority = 0
+        self.returns = return_register.ReturnRegister()
         self.load_meter = service_load.ServiceLoadMeter()
         self.peer_loads = service_load.ServiceLoadRegister()
         self._bounds = bounds
@@ -130,12 +131,15 @@
             self._repeat_budgets[service] = allowance
         return allowance
 
-    def try_retry(self, service: str, urgency: repeat_budget.Urgency) -> bool:
+    def try_retry(
+        self, service: str, urgency: repeat_budget.Urgency, priority: int
+    ) -> bool:
         """Takes one retry from the retry budget of a service.
 
         Args:
             service: Name of the service.
             urgency: How much of the budget the retry may draw on.
+            priority: Priority of the request; 0 is the most urgent.
 
         Returns:
             Whether the budget allows the retry.
@@ -149,7 +153,7 @@
             share = repeat_budget.SlackShare.OTHER
             instances = max(len(ready_instances) - len(crew), 1)
         return self.allowance(service).try_take(
-            now_s, share, instances, urgency
+            now_s, share, instances, urgency, priority
         )
 
     def work_s(self, rule: route_plan.RouteRule) -> float:
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -99,6 +99,7 @@
         self._end = ""
         self._to_new_version = False
         self._load_test: int | None = None
+        self._has_returned = False
 
     @property
     def has_been_sent(self) -> bool:
@@ -112,7 +113,10 @@
         """Forwards the request, with retries, and returns the final result."""
         state = self._state
         allowance = state.allowance(self._job.service)
-        allowance.on_request(self._clock())
+        allowance.on_request(self._clock(), self._job.priority)
+        self._has_returned = self._job.asked_s < self._job.arrived_s
+        if state.returns.take(self._job.fingerprint, self._clock()):
+            self._has_returned = True
         state.load_meter.on_arrival(
             self._job.service, state.work_s(self._job.rule), self._clock()
         )
@@ -185,9 +189,13 @@
 
     def _take_retry(self) -> bool:
         job = self._job
-        is_first = job.priority <= self._state.highest_priority
-        urgency = Urgency.FIRST if is_first else Urgency.NORMAL
-        return self._state.try_retry(job.service, urgency)
+        now_s = self._clock()
+        urgency = Urgency.NORMAL
+        if now_s + self._state.work_s(job.rule) > job.objective_s:
+            urgency = Urgency.LATE
+        elif self._has_returned:
+            urgency = Urgency.RETURNED
+        return self._state.try_retry(job.service, urgency, job.priority)
 
     def _final_result(
         self,
@@ -349,7 +357,9 @@
         )
         if isinstance(found, placement_requests.Rejection):
             return None
-        if not self._state.try_retry(self._job.service, Urgency.HEDGE):
+        if not self._state.try_retry(
+            self._job.service, Urgency.HEDGE, self._job.priority
+        ):
             self._state.placer.on_finished(found)
             return None
         return found
--- a/packages/policy/src/magnoliacrank/policy/repeat_budget.py
+++ b/packages/policy/src/magnoliacrank/policy/repeat_budget.py
@@ -1,7 +1,12 @@
 """Budget for the repeats of a service's requests, that is, retries and hedges.
 
 Load pattern: a third of the backend servers fail at once, or all of them
-refuse half of their requests, and each failed request would be sent again.
+refuse half of their requests, and each failed request would be sent again. The
+budget is then too small for all. The share that a repeat may use rises with the
+urgency of its request and with what its caller stands to lose, so that the most
+urgent find some left, and requests for which others do as well get none:
+callers that were not refused before can come back, and their own retries don't
+use the budget.
 """
 
 from __future__ import annotations
@@ -25,21 +30,32 @@
 repeats are spent, so that a long disturbance doesn't use up the budget in its
 first second."""
 
-_SHORT_WINDOW_SHARE = 0.4
+_SHORT_WINDOW_SHARE = 0.3
 """Share of a window's repeats that may be spent within `_SHORT_WINDOW_S`."""
 
 
+_MAX_RESERVE = 0.25
+"""Largest share of the budget that is kept for more urgent requests."""
+
+_RESERVE_FACTOR = 2.0
+"""Share of the budget that is kept for more urgent requests, relative to their
+share of all requests; above 1, since most of theirs may need a repeat."""
+
+
 class Urgency(enum.Enum):
-    """Share of the budget that a repeat may use, by its urgency."""
+    """Share of the budget that a repeat may use, by what its caller loses."""
 
     HEDGE = 0.5
     """A hedge: the first copy of the request is late, not lost."""
 
-    NORMAL = 0.75
-    """A retry of a failed request."""
+    LATE = 0.55
+    """A retry of a failed request that can't be in time any more."""
+
+    NORMAL = 0.6
+    """A retry of a failed request whose caller can still come back."""
 
-    FIRST = 1.0
-    """A retry of a failed request of the highest priority."""
+    RETURNED = 1.0
+    """A retry of a failed request whose caller was refused before."""
 
 
 class SlackShare(enum.Enum):
@@ -77,16 +93,21 @@
         self._slack = slack
         self._window_s = window_s
         self._started_s = started_s
-        self._request_times_s: collections.deque[float] = collections.deque()
+        self._requests: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._by_priority: collections.Counter[int] = collections.Counter()
         self._repeat_times_s: collections.deque[float] = collections.deque()
 
-    def on_request(self, now_s: float) -> None:
+    def on_request(self, now_s: float, priority: int = 0) -> None:
         """Counts a request from a caller.
 
         Args:
             now_s: Current monotonic time in seconds.
+            priority: Its priority; 0 is the most urgent.
         """
-        self._request_times_s.append(now_s)
+        self._requests.append((now_s, priority))
+        self._by_priority[priority] += 1
         self._drop_expired(now_s)
 
     def try_take(
@@ -95,6 +116,7 @@
         slack_share: SlackShare,
         instances: int,
         urgency: Urgency = Urgency.NORMAL,
+        priority: int = 0,
     ) -> bool:
         """Takes one repeat from the budget; returns False if there is no room.
 
@@ -103,14 +125,16 @@
             slack_share: Share of the slack for this instance's group.
             instances: Number of instances in that group.
             urgency: Share of the budget that the repeat may use.
+            priority: Priority of the request; 0 is the most urgent.
         """
         self._drop_expired(now_s)
         slack_growth = min(1.0, (now_s - self._started_s) / self._window_s)
         slack = (
             slack_growth * self._slack * slack_share.value / max(instances, 1)
         )
-        allowed = self._ratio * len(self._request_times_s) + slack
-        if len(self._repeat_times_s) + 1 > allowed * urgency.value:
+        allowed = self._ratio * len(self._requests) + slack
+        usable = allowed * min(urgency.value, 1.0 - self._reserve(priority))
+        if len(self._repeat_times_s) + 1 > usable:
             return False
         recent = sum(
             at_s > now_s - _SHORT_WINDOW_S for at_s in self._repeat_times_s
@@ -120,9 +144,22 @@
         self._repeat_times_s.append(now_s)
         return True
 
+    def _reserve(self, priority: int) -> float:
+        """Returns the share of the budget kept for more urgent requests."""
+        more_urgent = sum(
+            count
+            for other, count in self._by_priority.items()
+            if other < priority
+        )
+        share = more_urgent / max(len(self._requests), 1)
+        return min(share * _RESERVE_FACTOR, _MAX_RESERVE)
+
     def _drop_expired(self, now_s: float) -> None:
         """Removes requests and repeats that have left the window."""
         window_start_s = now_s - self._window_s
-        for times in (self._request_times_s, self._repeat_times_s):
-            while times and times[0] < window_start_s:
-                times.popleft()
+        while self._requests and self._requests[0][0] < window_start_s:
+            _, priority = self._requests.popleft()
+            self._by_priority[priority] -= 1
+        repeats = self._repeat_times_s
+        while repeats and repeats[0] < window_start_s:
+            repeats.popleft()
