--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliacrank.policy import admission_level
 from magnoliacrank.policy import crash_register
 from magnoliacrank.policy import repeat_budget
 from magnoliacrank.policy import return_register
@@ -92,19 +91,20 @@
         return [load for load in loads if load.demand_per_s or load.waiting]
 
     def agree_levels(self, now_s: float) -> None:
-        """Renews the level at which each service is short at all instances.
+        """Renews what is known of each service at all instances.
 
-        To be called with each heartbeat: without it, the levels lapse.
+        To be called with each heartbeat: without it, agreed levels lapse.
 
         Args:
             now_s: Clock time in seconds.
         """
         for service in self.load_meter.services():
             others = self.peer_loads.loads(service, now_s)
-            level = admission_level.agreed_level(
-                self._own_load(service, now_s), (load for _, load in others)
+            self.placer.agree(
+                self._own_load(service, now_s),
+                [load for _, load in others],
+                now_s,
             )
-            self.placer.level(service).agree(level, now_s)
 
     def admitted_priority(self) -> int:
         """Returns the most urgent level at which any service is short."""
--- a/packages/entry/src/magnoliacrank/entry/overload_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/overload_queue.py
@@ -21,6 +21,7 @@
     import random
 
     from magnoliacrank.entry import backend_table
+    from magnoliacrank.policy import service_load
 
     FindBackend = Callable[
         [placement_requests.PlacementRequest],
@@ -87,6 +88,23 @@
             return self._reject(request, decision)
         return await self._wait(request, place)
 
+    def agree(
+        self,
+        own: service_load.ServiceLoad,
+        others: list[service_load.ServiceLoad],
+        now_s: float,
+    ) -> None:
+        """Applies the loads that instances report of the service.
+
+        Args:
+            own: Load at this instance.
+            others: Loads at other instances.
+            now_s: Clock time in seconds.
+        """
+        level = admission_level.agreed_level(own, others)
+        self.level.agree(level, now_s)
+        self._policy.on_peer_loads(others, now_s)
+
     async def _wait(
         self,
         request: placement_requests.PlacementRequest,
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -23,6 +23,7 @@
     from magnoliacrank.entry import wait_queue
     from magnoliacrank.policy import admission_level
     from magnoliacrank.policy import instance_roster
+    from magnoliacrank.policy import service_load
 
 _PROBES_PER_ROUND = 3
 """Servers that are probed for their load concurrently."""
@@ -101,6 +102,21 @@
         """Returns the level at which a service is short."""
         return self._overload_queue(service).level
 
+    def agree(
+        self,
+        own: service_load.ServiceLoad,
+        others: list[service_load.ServiceLoad],
+        now_s: float,
+    ) -> None:
+        """Applies the loads that instances report of one service.
+
+        Args:
+            own: Load of the service at this instance.
+            others: Its loads at other instances.
+            now_s: Clock time in seconds.
+        """
+        self._overload_queue(own.service).agree(own, others, now_s)
+
     def crowding_of(self, service: str) -> crowding.Crowding:
         """Returns the measured slowdown of a service's nearly full servers."""
         return self._crowding.setdefault(service, crowding.Crowding())
--- a/packages/entry/tests/test_worst_load.py
+++ b/packages/entry/tests/test_worst_load.py
@@ -16,7 +16,6 @@
 from magnoliacrank.entry import placer
 from magnoliacrank.model import backend_entry
 from magnoliacrank.platform import request_wire
-from magnoliacrank.policy import admission_level
 from magnoliacrank.policy import backend_health
 from magnoliacrank.policy import service_load
 from magnoliacrank.policy import token_bucket
@@ -223,8 +222,7 @@
             await asyncio.sleep(HEARTBEAT_S)
             for number, instance in enumerate(self._placers):
                 others = loads[:number] + loads[number + 1 :]
-                level = admission_level.agreed_level(loads[number], others)
-                instance.level("svc").agree(level, self._clock())
+                instance.agree(loads[number], others, self._clock())
 
     async def _call(self, name, kind):
         asked_s = self._clock()
--- a/packages/policy/src/magnoliacrank/policy/repeat_budget.py
+++ b/packages/policy/src/magnoliacrank/policy/repeat_budget.py
@@ -51,7 +51,7 @@
     LATE = 0.55
     """A retry of a failed request that can't be in time any more."""
 
-    NORMAL = 0.6
+    NORMAL = 0.45
     """A retry of a failed request whose caller can still come back."""
 
     RETURNED = 1.0
@@ -133,26 +133,33 @@
             slack_growth * self._slack * slack_share.value / max(instances, 1)
         )
         allowed = self._ratio * len(self._requests) + slack
-        usable = allowed * min(urgency.value, 1.0 - self._reserve(priority))
+        usable = allowed * self._usable_share(urgency, priority)
         if len(self._repeat_times_s) + 1 > usable:
             return False
         recent = sum(
             at_s > now_s - _SHORT_WINDOW_S for at_s in self._repeat_times_s
         )
-        if recent + 1 > max(allowed * _SHORT_WINDOW_SHARE, 1.0):
+        if recent + 1 > max(usable * _SHORT_WINDOW_SHARE, 1.0):
             return False
         self._repeat_times_s.append(now_s)
         return True
 
-    def _reserve(self, priority: int) -> float:
-        """Returns the share of the budget kept for more urgent requests."""
-        more_urgent = sum(
-            count
-            for other, count in self._by_priority.items()
-            if other < priority
-        )
-        share = more_urgent / max(len(self._requests), 1)
-        return min(share * _RESERVE_FACTOR, _MAX_RESERVE)
+    def _usable_share(self, urgency: Urgency, priority: int) -> float:
+        """Returns the share of the budget that a repeat may use.
+
+        A part is kept for more urgent requests, and the limit by what the
+        caller loses counts the less, the more requests are less urgent.
+        """
+        more = less = 0
+        for other, count in self._by_priority.items():
+            more += count if other < priority else 0
+            less += count if other > priority else 0
+        total = max(len(self._requests), 1)
+        kept = min(_RESERVE_FACTOR * more / total, _MAX_RESERVE)
+        limit = urgency.value
+        if urgency is not Urgency.HEDGE:
+            limit += (1.0 - limit) * less / total
+        return min(limit, 1.0 - kept)
 
     def _drop_expired(self, now_s: float) -> None:
         """Removes requests and repeats that have left the window."""
--- a/packages/policy/src/magnoliacrank/policy/wait_policy.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_policy.py
@@ -22,6 +22,9 @@
 from magnoliacrank.policy import drain_estimate
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliacrank.policy import service_load
     from magnoliacrank.policy import wait_order
 
 _SHORTAGE_S = 0.3
@@ -38,6 +41,10 @@
 isn't turned out for the next few dispatches."""
 
 
+_PEER_LOADS_S = 2.0
+"""Time in seconds for which the loads that others reported are used."""
+
+
 class Step(enum.Enum):
     """What happens to a request that needs a server."""
 
@@ -112,6 +119,8 @@
     def __init__(self) -> None:
         self._drain = drain_estimate.DrainEstimate()
         self._short_until_s = float("-inf")
+        self._peer_loads: tuple[service_load.ServiceLoad, ...] = ()
+        self._peer_loads_s = float("-inf")
 
     def on_arrival(
         self, demand: wait_order.Demand, line: Line, now_s: float
@@ -190,14 +199,27 @@
         if demand.may_wait and not demand.is_late(now_s):
             self._short_until_s = now_s + _SHORTAGE_S
 
+    def on_peer_loads(
+        self, loads: Iterable[service_load.ServiceLoad], now_s: float
+    ) -> None:
+        """Records the loads that other instances report of the service."""
+        self._peer_loads = tuple(loads)
+        self._peer_loads_s = now_s
+
     def drain_s(self, waiting: int, now_s: float) -> float:
-        """Returns the time in seconds until the whole queue is served.
+        """Returns the time in seconds until all queues are served.
+
+        These are the queues of the service at all instances.
 
         Args:
-            waiting: Number of requests in the queue.
+            waiting: Number of requests in the queue of this instance.
             now_s: Current monotonic time in seconds.
         """
-        return self._drain.wait_s(waiting, now_s)
+        rate_per_s = self._drain.rate_per_s(now_s)
+        if now_s - self._peer_loads_s <= _PEER_LOADS_S:
+            waiting += sum(load.waiting for load in self._peer_loads)
+            rate_per_s += sum(load.placed_per_s for load in self._peer_loads)
+        return waiting / rate_per_s
 
     def _decide(
         self,
--- a/packages/policy/tests/test_wait_policy.py
+++ b/packages/policy/tests/test_wait_policy.py
@@ -6,6 +6,7 @@
 import pytest
 
 from magnoliacrank.policy import placement
+from magnoliacrank.policy import service_load
 from magnoliacrank.policy import stated_timeouts
 from magnoliacrank.policy import wait_policy
 
@@ -97,6 +98,30 @@
     )
 
 
+def test_urgent_requests_take_the_time_of_others_that_wait():
+    """Half of what is dispatched is more urgent than the others."""
+    policy = wait_policy.WaitPolicy()
+    for number in range(100):
+        demand = Demand(priority=number % 2 * 2)
+        policy.on_dispatch(demand, 10.0 + number / 100)
+    urgent, other = Demand(asked_s=11.0), Demand(asked_s=11.0, priority=2)
+    assert policy.on_arrival(urgent, _line(25), 11.0).step is Step.WAIT
+    decision = policy.on_arrival(other, _line(25), 11.0)
+    assert decision.cause is wait_policy.Cause.WAIT_TOO_LONG
+    assert decision.wait_s == pytest.approx(0.5, rel=0.05)
+    assert decision.left_s == pytest.approx(0.4)
+    assert not policy.should_give_way(other, _line(24), 11.0)
+    assert policy.should_give_way(other, _line(26), 11.0)
+
+
+def test_queues_of_all_instances_tell_when_there_is_room():
+    policy = _busy_policy()
+    assert policy.drain_s(25, 11.0) == pytest.approx(0.5, rel=0.05)
+    load = service_load.ServiceLoad("svc", 0.0, 50.0, 0.0, 0.2, 75)
+    policy.on_peer_loads([load], 11.0)
+    assert policy.drain_s(25, 11.0) == pytest.approx(1.0, rel=0.05)
+
+
 def test_hedge_never_waits():
     policy = _busy_policy()
     hedge = Demand(asked_s=11.0, may_wait=False)
