--- a/packages/policy/tests/test_caller_access.py
+++ b/packages/policy/tests/test_caller_access.py
@@ -63,29 +63,3 @@
     table = None if customers is None else _table(*customers)
     rule = _rule(is_public=is_public)
     assert caller_access.decide(_plan(table), rule, key) == expected
-
-
-@pytest.mark.parametrize(
-    ("customers", "rules", "highest"),
-    [
-        (None, [_rule(priority=2), _rule(priority=3)], 2),
-        (None, [], 0),
-        ((OWN_RANK,), [_rule(priority=2)], 0),
-        ((customer_table.Customer("c", 4),), [_rule(priority=2)], 4),
-        (
-            (customer_table.Customer("c", 4),),
-            [_rule(priority=2, is_public=True)],
-            2,
-        ),
-        (
-            (customer_table.Customer("c", 4), NO_RANK),
-            [_rule(priority=2)],
-            2,
-        ),
-    ],
-)
-def test_highest_priority_is_one_that_requests_can_have(
-    customers, rules, highest
-):
-    table = None if customers is None else _table(*customers)
-    assert _plan(table, *rules).highest_priority == highest
