Tie the answers of the store to its era, and let the stand-in rewind

StoreClient's results carry the era that the answer states. An answer of an older era than the newest known one is a failure: a slow read that was sent before the store came back isn't merged as if it were new. The same holds for pages of a listing and conditional writes that cross a change of era. A known era may also come from another instance. The stand-in drops the newest records at rewind(), raises the era and answers 410 from offsets that it lacks; only then, since reads beyond the end were answered before.

--- a/packages/platform/src/magnoliacrank/platform/store_client.py
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import base64
 import enum
 from typing import TYPE_CHECKING
-from typing import Any
 
 import aiohttp
 import attrs
 
+from magnoliacrank.platform import _newest_page
 from magnoliacrank.platform import store_records
 from magnoliacrank.platform import wire_values
 
@@ -61,6 +60,11 @@
     MALFORMED = "malformed"
     """The response can't be decoded."""
 
+    OTHER_ERA = "other-era"
+    """The response is of another era of the store than the call is about, so
+    the offsets in either mean nothing in the other. A write is lost, or was
+    executed under a condition that was meant for another era."""
+
 
 @attrs.frozen
 class StoreFailure:
@@ -84,6 +88,7 @@
         return self.kind in (
             StoreFailureKind.NO_ANSWER,
             StoreFailureKind.MALFORMED,
+            StoreFailureKind.OTHER_ERA,
         )
 
 
@@ -97,11 +102,27 @@
     end: int
     """Offset from which to read on without missing a later change."""
 
+    era: int = 0
+    """Era of the store that all pages state; 0 if they state none."""
+
+
+@attrs.frozen
+class _Answer:
+    """Successful response to one call."""
+
+    data: bytes
+    """Body of the response."""
+
+    era: int
+    """Era that the response states; 0 if none was ever stated."""
+
 
 class StoreClient:
     """Client of the store's HTTP interface.
 
-    Calls return a `StoreFailure` instead of raising an exception.
+    Calls return a `StoreFailure` instead of raising an exception. A response
+    of an older era than the newest known one, such as a late response to a
+    call that was sent before the store came back, is a failure too.
 
     Args:
         url: Base URL of the store, without a final slash.
@@ -125,9 +146,26 @@
         return self._era
 
     def add_era_listener(self, listener: Callable[[int], None]) -> None:
-        """Adds a callback for answers that state a newer era than before."""
+        """Adds a callback for answers that state a newer era than before.
+
+        It is also called if another instance was the first to see the era.
+        """
         self._on_era.append(listener)
 
+    def note_era(self, era: int) -> None:
+        """Records an era that another instance knows of.
+
+        Args:
+            era: The era; ignored unless it is newer than the known one.
+        """
+        if self._era is not None and era <= self._era:
+            return
+        is_newer = self._era is not None
+        self._era = era
+        if is_newer:
+            for listener in self._on_era:
+                listener(era)
+
     async def start(self) -> None:
         """Opens the client; connections are made by the calls."""
         # Each call opens a new connection: a reused one may have broken
@@ -160,7 +198,9 @@
         if isinstance(answer, StoreFailure):
             return answer
         try:
-            return store_records.decode_keyed_page(answer, start)
+            return store_records.decode_keyed_page(
+                answer.data, start, answer.era
+            )
         except store_records.RecordFormatError as error:
             return StoreFailure(StoreFailureKind.MALFORMED, str(error))
 
@@ -181,7 +221,7 @@
         if isinstance(answer, StoreFailure):
             return answer
         try:
-            return store_records.decode_plain_page(answer)
+            return store_records.decode_plain_page(answer.data, answer.era)
         except store_records.RecordFormatError as error:
             return StoreFailure(StoreFailureKind.MALFORMED, str(error))
 
@@ -200,22 +240,24 @@
         """
         records: list[store_records.KeyedRecord] = []
         first_end: int | None = None
+        era: int | None = None
         query = {"topic": topic, "part": "0"}
         for _ in range(_MAX_PAGES):
             answer = await self._call(
-                "GET", "log-newest", query, b"", timeout_s
+                "GET", "log-newest", query, b"", timeout_s, era
             )
             if isinstance(answer, StoreFailure):
                 return answer
+            era = answer.era
             try:
-                page = _decode_newest(answer)
+                page = _newest_page.decode(answer.data, answer.era)
             except wire_values.WireValueError as error:
                 return StoreFailure(StoreFailureKind.MALFORMED, str(error))
             records += page.records
             if first_end is None:
                 first_end = page.end
             if not page.has_more or not page.records:
-                return NewestRecords(tuple(records), first_end)
+                return NewestRecords(tuple(records), first_end, era)
             query["after"] = page.records[-1].key
         return StoreFailure(StoreFailureKind.MALFORMED, "pages without an end")
 
@@ -226,6 +268,7 @@
         value: bytes,
         timeout_s: float,
         expected_end: int | None = None,
+        era: int | None = None,
     ) -> int | StoreFailure:
         """Appends one record to a topic with keys.
 
@@ -236,12 +279,15 @@
             timeout_s: Longest time for the response, in seconds.
             expected_end: Offset at which the topic must end for the record to
                 be written, or None to write it in any case.
+            era: Era in which the expected offset was read, or None. The store
+                doesn't check it: a response of another era is a failure, and
+                the record may have been written.
 
         Returns:
             The offset of the record.
         """
         body = store_records.encode(key, value)
-        return await self._append(topic, body, timeout_s, expected_end)
+        return await self._append(topic, body, timeout_s, expected_end, era)
 
     async def append_plain(
         self, topic: str, contents: Sequence[bytes], timeout_s: float
@@ -261,7 +307,7 @@
 
     async def _read(
         self, topic: str, start: int, wait_s: float, timeout_s: float
-    ) -> bytes | StoreFailure:
+    ) -> _Answer | StoreFailure:
         query = {"topic": topic, "part": "0", "from": str(start)}
         if wait_s > 0:
             query["wait-ms"] = str(round(wait_s * 1000))
@@ -275,16 +321,19 @@
         body: bytes,
         timeout_s: float,
         expected_end: int | None,
+        era: int | None = None,
     ) -> int | StoreFailure:
         query = {"topic": topic, "part": "0"}
         if expected_end is not None:
             query["at"] = str(expected_end)
-        answer = await self._call("POST", "log-append", query, body, timeout_s)
+        answer = await self._call(
+            "POST", "log-append", query, body, timeout_s, era
+        )
         if isinstance(answer, StoreFailure):
             return answer
         try:
             return wire_values.read_integer(
-                wire_values.decode_json(answer), "offset"
+                wire_values.decode_json(answer.data), "offset"
             )
         except wire_values.WireValueError as error:
             return StoreFailure(StoreFailureKind.MALFORMED, str(error))
@@ -296,10 +345,12 @@
         query: Mapping[str, str],
         body: bytes,
         timeout_s: float,
-    ) -> bytes | StoreFailure:
+        expected_era: int | None = None,
+    ) -> _Answer | StoreFailure:
         if self._session is None:
             return StoreFailure(StoreFailureKind.REFUSED, "client not started")
         self._calls += 1
+        known_era = self._era or 0
         try:
             async with self._session.request(
                 method,
@@ -310,27 +361,26 @@
             ) as answer:
                 data = await answer.read()
                 status = answer.status
-                self._note_era(answer.headers.get(ERA_HEADER, ""))
+                stated = answer.headers.get(ERA_HEADER, "")
         except aiohttp.ClientConnectorError as error:
             return StoreFailure(StoreFailureKind.REFUSED, str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return StoreFailure(StoreFailureKind.NO_ANSWER, repr(error))
+        era = wire_values.parse_count(stated.strip())
+        if era is None:
+            era = known_era
+        else:
+            self.note_era(era)
+        if era < (self._era or 0) or expected_era not in (None, era):
+            return StoreFailure(
+                StoreFailureKind.OTHER_ERA, f"{name} answered in era {era}"
+            )
         if status == _OK:
-            return data
+            return _Answer(data, era)
         kind = _FAILURE_KINDS.get(status, StoreFailureKind.REFUSED)
         first_offset = _decode_first_offset(data) if status == _GONE else None
         return StoreFailure(kind, f"{name} status {status}", first_offset)
 
-    def _note_era(self, text: str) -> None:
-        era = wire_values.parse_count(text.strip())
-        if era is None or (self._era is not None and era <= self._era):
-            return
-        is_newer = self._era is not None
-        self._era = era
-        if is_newer:
-            for listener in self._on_era:
-                listener(era)
-
 
 _FAILURE_KINDS = {
     _GONE: StoreFailureKind.EXPIRED,
@@ -338,46 +388,9 @@
 }
 
 
-@attrs.frozen
-class _NewestPage:
-    records: tuple[store_records.KeyedRecord, ...]
-    has_more: bool
-    end: int
-
-
-def _decode_newest(data: bytes) -> _NewestPage:
-    """Decodes one page of the newest records.
-
-    Raises:
-        WireValueError: The page is malformed.
-    """
-    document = wire_values.decode_json(data)
-    records = tuple(
-        store_records.KeyedRecord(
-            wire_values.read_string(item, "key"),
-            _decode_value(item),
-            wire_values.read_integer(item, "offset"),
-        )
-        for item in wire_values.read_list(document, "items")
-    )
-    return _NewestPage(
-        records,
-        bool(document.get("has-more")),
-        wire_values.read_integer(document, "end"),
-    )
-
-
 def _decode_first_offset(data: bytes) -> int | None:
     """Returns the oldest retained offset that a response states, or None."""
     try:
         return wire_values.read_integer(wire_values.decode_json(data), "first")
     except wire_values.WireValueError:
         return None
-
-
-def _decode_value(item: Any) -> bytes | None:
-    value = item.get("value")
-    try:
-        return base64.b64decode(value) or None
-    except (ValueError, TypeError) as error:
-        raise wire_values.WireValueError(f"value: {error}") from error
--- a/packages/platform/src/magnoliacrank/platform/store_records.py
+++ b/packages/platform/src/magnoliacrank/platform/store_records.py
@@ -34,7 +34,16 @@
     """Value of the key; None for a tombstone, which deletes the key."""
 
     offset: int
-    """Offset of the record in the topic."""
+    """Offset of the record in the topic; -1 for a key that a complete listing
+    of an empty topic lacks."""
+
+    era: int = 0
+    """Era of the store in which the record was read at that offset."""
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and offset; a later record of a key has a greater position."""
+        return (self.era, self.offset)
 
 
 @attrs.frozen
@@ -53,6 +62,9 @@
     unreadable: int = 0
     """Number of records that were left out because their key is unreadable."""
 
+    era: int = 0
+    """Era of the store that the response states; 0 if it states none."""
+
 
 @attrs.frozen
 class PlainPage:
@@ -67,6 +79,9 @@
     first: int
     """Offset of the oldest record that the store retains."""
 
+    era: int = 0
+    """Era of the store that the response states; 0 if it states none."""
+
 
 def encode(key: str, value: bytes) -> bytes:
     """Encodes one keyed record, framed by its length."""
@@ -79,33 +94,40 @@
     return _LENGTH.pack(len(content)) + content
 
 
-def decode_keyed_page(data: bytes, start_offset: int) -> RecordPage:
+def decode_keyed_page(
+    data: bytes, start_offset: int, era: int = 0
+) -> RecordPage:
     """Decodes the store's response to a read from a topic with keys.
 
     Args:
         data: Body of the response.
         start_offset: Offset of the first record in the response.
+        era: Era of the store that the response states.
 
     Raises:
         RecordFormatError: The response is truncated or malformed.
     """
-    page = decode_plain_page(data)
+    page = decode_plain_page(data, era)
     records: list[KeyedRecord] = []
     unreadable = 0
     offset = start_offset
     for content in page.contents:
-        record = _decode_keyed(content, offset)
+        record = _decode_keyed(content, offset, era)
         if record is None:
             unreadable += 1
         else:
             records.append(record)
         offset += 1
-    return RecordPage(tuple(records), offset, page.end, unreadable)
+    return RecordPage(tuple(records), offset, page.end, unreadable, era)
 
 
-def decode_plain_page(data: bytes) -> PlainPage:
+def decode_plain_page(data: bytes, era: int = 0) -> PlainPage:
     """Decodes the store's response to a read from a topic without keys.
 
+    Args:
+        data: Body of the response.
+        era: Era of the store that the response states.
+
     Raises:
         RecordFormatError: The response is truncated or malformed.
     """
@@ -113,7 +135,7 @@
         raise RecordFormatError("the response is shorter than its header")
     end, first = _PAGE_HEADER.unpack_from(data)
     contents = _split(data[_PAGE_HEADER.size :])
-    return PlainPage(tuple(contents), end, first)
+    return PlainPage(tuple(contents), end, first, era)
 
 
 def _split(data: bytes) -> Sequence[bytes]:
@@ -132,7 +154,9 @@
     return contents
 
 
-def _decode_keyed(content: bytes, offset: int) -> KeyedRecord | None:
+def _decode_keyed(
+    content: bytes, offset: int, era: int
+) -> KeyedRecord | None:
     if not content:
         return None
     size = content[0]
@@ -143,4 +167,4 @@
         key = name.decode()
     except UnicodeDecodeError:
         return None
-    return KeyedRecord(key, content[1 + size :] or None, offset)
+    return KeyedRecord(key, content[1 + size :] or None, offset, era)
--- a/packages/platform/tests/test_odd_values.py
+++ b/packages/platform/tests/test_odd_values.py
@@ -185,7 +185,7 @@
     client = store_client.StoreClient("http://127.0.0.1:1")
 
     async def call(*_):
-        return data
+        return store_client._Answer(data, era=0)
 
     monkeypatch.setattr(client, "_call", call)
     for result in (
--- a/packages/standins/src/magnoliacrank/standins/platform_store.py
+++ b/packages/standins/src/magnoliacrank/standins/platform_store.py
@@ -27,6 +27,7 @@
 _RECORD_LENGTH = struct.Struct(">I")
 _PAGE_ITEMS = 50
 _MAX_CALL_BYTES = 2 << 20
+_ERA_HEADER = "Store-Era"
 _OPERATOR_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 
 
@@ -57,6 +58,7 @@
 class _Topic:
     records: list[bytes] = attrs.field(factory=list)
     first: int = 0
+    is_rewound: bool = False
     appended: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
@@ -66,9 +68,21 @@
     def append(self, records: Sequence[bytes]) -> int:
         start = self.end
         self.records += records
+        self.notify()
+        return start
+
+    def truncate(self, end: int) -> None:
+        del self.records[end:]
+        self.is_rewound = True
+        self.first = min(self.first, self.end)
+        self.notify()
+
+    def lacks(self, offset: int) -> bool:
+        return self.is_rewound and offset > self.end
+
+    def notify(self) -> None:
         self.appended.set()
         self.appended = asyncio.Event()
-        return start
 
     def keyed(self) -> list[tuple[str, bytes]]:
         return [_decode_keyed(content) for content in self.records]
@@ -95,6 +109,7 @@
         delay_s: Delay of each call in seconds.
         late_s: Seconds after which a call under `Fault.LATE` is carried out.
         calls: Number of calls received, by name: append, read or newest.
+        era: Era that all answers state; None to state none.
     """
 
     def __init__(self, port: int = 0) -> None:
@@ -103,6 +118,7 @@
         self.delay_s = 0.0
         self.late_s = 0.05
         self.calls: dict[str, int] = {}
+        self.era: int | None = 1
         self._topics: dict[str, _Topic] = {}
         self._runner: web.AppRunner | None = None
         self._port = port
@@ -161,6 +177,23 @@
         found = self._topic(topic)
         found.first = found.end
 
+    def copy(self) -> dict[str, int]:
+        """Returns a copy to pass to `rewind`: the end of each topic."""
+        return {name: topic.end for name, topic in self._topics.items()}
+
+    def rewind(self, copy: dict[str, int]) -> None:
+        """Returns from an older copy, and raises the era.
+
+        Offsets after the copy are given out again. Reads from an offset
+        after the end get 410.
+
+        Args:
+            copy: Result of `copy`; topics that it lacks become empty.
+        """
+        self.era = (self.era or 0) + 1
+        for name, topic in self._topics.items():
+            topic.truncate(copy.get(name, 0))
+
     def newest(self, topic: str) -> dict[str, bytes]:
         """Returns the newest value of each key that is not deleted."""
         found = self._topic(topic).newest()
@@ -194,7 +227,7 @@
             found = self._topic(request.query["topic"])
             start = int(request.query["from"])
             wait_s = int(request.query.get("wait-ms", "0")) / 1000
-            if start < found.first:
+            if start < found.first or found.lacks(start):
                 return web.json_response({"first": found.first}, status=410)
             if start >= found.end and wait_s:
                 appended = found.appended
@@ -203,6 +236,8 @@
                         await appended.wait()
                 except TimeoutError:
                     pass
+            if found.lacks(start):
+                return web.json_response({"first": found.first}, status=410)
             body = _READ_HEADER.pack(found.end, found.first)
             for content in found.records[start:]:
                 body += _RECORD_LENGTH.pack(len(content)) + content
@@ -247,9 +282,13 @@
         if name == "append" and self.append_faults:
             fault = self.append_faults.pop(0)
         if fault is Fault.NONE:
-            return await serve()
+            answer = await serve()
+            self._state_era(answer)
+            return answer
         if fault is Fault.BUSY:
-            return web.Response(status=503)
+            answer = web.Response(status=503)
+            self._state_era(answer)
+            return answer
         if fault is Fault.SILENT:
             await asyncio.sleep(3600)
         if fault is Fault.LOST:
@@ -261,6 +300,10 @@
             request.transport.abort()
         return web.Response(status=500)
 
+    def _state_era(self, answer: web.StreamResponse) -> None:
+        if self.era is not None:
+            answer.headers[_ERA_HEADER] = str(self.era)
+
     async def _serve_after_delay(
         self, serve: Callable[[], Awaitable[web.StreamResponse]]
     ) -> None:
