Read the store anew in each era, and keep what was known until it is rewritten

Offsets are compared within an era only: views order records by era and offset, and heartbeats and requests between instances state the era of their offsets. The first listing of an era doesn't replace what may be newer: a configuration in force stays unless the listed version is higher, a leaving or removed server stays out until its entry is written again, other known records stay for a bounded time. Instances cut off from the store get the new era, with what the sender retains, from others. States of rollouts and announcements are written again; a final state that was acknowledged replaces any other.

SiteReader, SiteView and RolloutController gave parts to StoreReads, ViewUpdater, ServerEntries, RecordComparison and RolloutRecords; a test that replaced a private method of SiteView replaces the one of ServerEntries.

--- a/packages/entry/src/magnoliacrank/entry/announcer.py
+++ b/packages/entry/src/magnoliacrank/entry/announcer.py
@@ -71,6 +71,7 @@
             announce_schedule.Step.READ: self._read,
         }
         self._task: asyncio.Task[None] | None = None
+        store.add_era_listener(lambda _: self._schedule.on_store_rewound())
 
     async def start(self) -> None:
         """Starts the background task."""
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -265,13 +265,14 @@
         )
         self._roster.set_own(fact)
         view = self._view
+        operators_mark, servers_mark = view.offsets
         return heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=attrs.astuple(fact),
             mesh_mark=self._protocol.mark(now_s),
             lost=self._roster.lost(now_s),
-            operators_mark=view.operators.mark,
-            servers_mark=view.servers.mark,
+            operators_mark=operators_mark,
+            servers_mark=servers_mark,
             verified_age_ms=service_handlers.verified_age_ms(
                 self._reader, now_s
             ),
@@ -279,7 +280,7 @@
             crashes=self._state.crashes.recent_own_counts(now_s),
             blocked=self._state.crashes.blocked(now_s),
             time_ms=time.time_ns() // 1_000_000,
-            store_era=self._store.era or 0,
+            store_era=view.era,
             loads=[
                 attrs.astuple(load) for load in self._state.own_loads(now_s)
             ],
@@ -405,6 +406,7 @@
             "task_failures",
             lambda: self.log.warning_count(owned_task.FAILURE_EVENT),
         )
+        metrics.add_gauge("store_rewinds", lambda: self._reader.rewinds)
         metrics.add_gauge("read_errors", lambda: self._reader.read_errors)
         metrics.add_gauge(
             "unreadable_records", lambda: self._view.unreadable_records
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -114,7 +114,8 @@
     """Unix time in milliseconds by the sender's clock."""
 
     store_era: Count
-    """Newest era of the store that the sender knows; 0 for none."""
+    """Era of the store that the sender's records and their offsets belong to;
+    0 for none."""
 
     loads: list[ServiceLoadRow]
     """Load of each service that the sender has requests for."""
--- a/packages/entry/src/magnoliacrank/entry/peer_fetcher.py
+++ b/packages/entry/src/magnoliacrank/entry/peer_fetcher.py
@@ -38,12 +38,13 @@
             link.close()
 
     async def fetch(
-        self, ip: str, operators_seen: int, servers_seen: int
+        self, ip: str, era: int, operators_seen: int, servers_seen: int
     ) -> peer_records.PeerRecords | None:
         """Fetches the changes after two offsets from another instance.
 
         Args:
             ip: IP address of the other instance.
+            era: Era of the store that the offsets belong to.
             operators_seen: Offset in the operators' topic below which this
                 instance lacks no change.
             servers_seen: Offset in the servers' topic below which this
@@ -58,7 +59,7 @@
             self._links[ip] = link
         target = (
             f"{peer_records.PATH}?operators={operators_seen}"
-            f"&servers={servers_seen}"
+            f"&servers={servers_seen}&era={era}"
         )
         head = outbound_head.OutboundHead(
             "GET", target, [("Host", link.authority)]
--- a/packages/entry/src/magnoliacrank/entry/rollout_controller.py
+++ b/packages/entry/src/magnoliacrank/entry/rollout_controller.py
@@ -9,20 +9,18 @@
 
 from magnoliacrank.entry import heartbeat
 from magnoliacrank.entry import owned_task
-from magnoliacrank.entry import peer_records
+from magnoliacrank.entry import rollout_records
 from magnoliacrank.model import orders
-from magnoliacrank.platform import operator_wire
-from magnoliacrank.platform import store_client
-from magnoliacrank.platform import wire_values
-from magnoliacrank.policy import backoff
 from magnoliacrank.policy import version_trial
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from magnoliacrank.entry import event_log
+    from magnoliacrank.entry import peer_records
     from magnoliacrank.entry import site_view
     from magnoliacrank.platform import settings_file
+    from magnoliacrank.platform import store_client
     from magnoliacrank.policy import instance_roster
     from magnoliacrank.policy import peer_status
 
@@ -33,14 +31,9 @@
 """Further delay per position in the duty order, after which an instance records
 a state that no instance before it has recorded."""
 
-_CALL_TIMEOUT_S = 1.0
-"""Timeout of one call to the store."""
-
-_INITIAL_BACKOFF_S = 0.25
-"""Delay after a failed call to the store; doubles up to `_MAX_BACKOFF_S`."""
-
-_MAX_BACKOFF_S = 2.0
-"""Longest delay between failed calls to the store."""
+_MAX_RESTORERS = 3
+"""Number of instances at the front of the duty order that record states again
+which the store may have lost; each reads the recorded states once."""
 
 _EVIDENCE_DELAY_S = 2.5
 """Time as a member of the mesh after which the evidence of all members has
@@ -68,7 +61,14 @@
     """Whether the order replaced an earlier one for the service."""
 
     recorded: orders.RolloutState | None = None
-    """State known to be recorded in the store; None if none is."""
+    """State known to have been recorded in the store; None if none was."""
+
+    is_lost: bool = False
+    """Whether the store may have lost the recorded state since then."""
+
+    has_moved: bool = False
+    """Whether the operators may have written the order again, so that other
+    instances know it by another offset."""
 
 
 class RolloutController:
@@ -98,14 +98,16 @@
         clock: Callable[[], float],
     ) -> None:
         self._view = view
-        self._store = store
         self._roster = roster
         self._bounds = bounds
         self._log = log
         self._clock = clock
         self._rollouts: dict[str, _Rollout] = {}
         self._has_loaded_states = False
-        self._backoff = backoff.Backoff(_INITIAL_BACKOFF_S, _MAX_BACKOFF_S)
+        self._records = rollout_records.RolloutRecords(store, log, clock)
+        self._lost: dict[str, orders.RolloutStatus] = {}
+        self._rewound_s = clock()
+        store.add_era_listener(lambda _: self._on_store_rewound())
         self._member_since_s: float | None = None
         self._last_check_s = clock()
         self._task: asyncio.Task[None] | None = None
@@ -135,15 +137,10 @@
         """
         if self._has_loaded_states:
             return True
-        if not self._backoff.may_call(self._clock()):
+        statuses = await self._records.read()
+        if statuses is None:
             return False
-        newest = await self._store.newest(
-            store_client.STATUS_TOPIC, _CALL_TIMEOUT_S
-        )
-        self._set_backoff(newest)
-        if isinstance(newest, store_client.StoreFailure):
-            return False
-        self._apply_statuses(self._decode_states(newest))
+        self._apply_statuses(statuses)
         return True
 
     def adopt_states(self, rows: list[peer_records.StateRow]) -> None:
@@ -252,10 +249,7 @@
         source = f"{sender.node}/{sender.incarnation}"
         for report in beat.trials:
             rollout = self._rollouts.get(report.service)
-            if (
-                rollout is None
-                or rollout.trial.order_offset != report.order_offset
-            ):
+            if rollout is None or not _is_same_order(rollout, report):
                 continue
             trial = rollout.trial
             trial.adopt_earlier_start(self._clock() - report.age_ms / 1000)
@@ -284,6 +278,8 @@
                 if has_all_evidence:
                     self._evaluate(rollout)
                 await self._record(rollout)
+            for status in list(self._lost.values()):
+                await self._restore(status)
             await asyncio.sleep(_TICK_S)
 
     def _evaluate(self, rollout: _Rollout) -> None:
@@ -353,84 +349,68 @@
             orders.RolloutStatus(order.service, order.target_version, state)
         )
 
+    def _on_store_rewound(self) -> None:
+        """Marks all recorded states as to be recorded again."""
+        self._rewound_s = self._clock()
+        for rollout in self._rollouts.values():
+            rollout.is_lost = rollout.recorded is not None
+            rollout.has_moved = True
+        self._lost = {
+            service: status
+            for service, status in self._view.statuses.items()
+            if service not in self._rollouts
+        }
+
     async def _record(self, rollout: _Rollout) -> None:
-        if rollout.recorded is rollout.decision:
+        is_recorded = rollout.recorded is rollout.decision
+        if is_recorded and not rollout.is_lost:
             return
-        now_s = self._clock()
-        place = self._roster.duty_order(now_s)
-        if now_s < rollout.decided_s + _TAKEOVER_STEP_S * place:
-            return
-        if not self._backoff.may_call(now_s):
+        place = self._roster.duty_order(self._clock())
+        if is_recorded and place >= _MAX_RESTORERS:
             return
         if rollout.decision is orders.RolloutState.RUNNING and place:
             # Only the first in the duty order records the start.
             return
+        if not self._is_turn(rollout.decided_s, place):
+            return
         order = rollout.trial.order
         status = orders.RolloutStatus(
             order.service, order.target_version, rollout.decision
         )
-        recorded = await self._write(
-            status, may_restart=rollout.follows_another
+        recorded = await self._records.write(
+            status,
+            may_restart=rollout.follows_another,
+            was_recorded=is_recorded,
         )
         if recorded is None:
             return
         rollout.recorded = recorded.state
+        rollout.is_lost = False
         if recorded.state is not orders.RolloutState.RUNNING:
             rollout.decision = recorded.state
             self._apply(rollout, recorded.state)
             self._on_urgent_change()
 
-    async def _write(
-        self, status: orders.RolloutStatus, *, may_restart: bool
-    ) -> orders.RolloutStatus | None:
-        """Writes a state to the store, unless a final one is recorded.
+    async def _restore(self, status: orders.RolloutStatus) -> None:
+        """Records a state again whose rollout ended before this process."""
+        place = self._roster.duty_order(self._clock())
+        if place >= _MAX_RESTORERS or not self._is_turn(0.0, place):
+            return
+        is_known = self._view.statuses.get(status.service) == status
+        if not is_known or await self._records.write(
+            status, may_restart=False, was_recorded=True
+        ):
+            self._lost.pop(status.service, None)
 
-        The write is conditional on the end of the topic, so an instance that
-        was paused between reading and writing overwrites nothing.
+    def _is_turn(self, decided_s: float, place: int) -> bool:
+        """Whether the instances before this one had time to record a state.
 
         Args:
-            status: The state.
-            may_restart: Whether a recorded final state may belong to an
-                earlier order for the same version, so that `running` may
-                replace it.
-
-        Returns:
-            The state that is recorded now, or None if the store failed.
+            decided_s: Clock time of the decision, in seconds.
+            place: Position of this instance in the duty order.
         """
-        newest = await self._store.newest(
-            store_client.STATUS_TOPIC, _CALL_TIMEOUT_S
-        )
-        self._set_backoff(newest)
-        if isinstance(newest, store_client.StoreFailure):
-            self._log_failure(status, newest)
-            return None
-        for known in self._decode_states(newest):
-            if (
-                known.service == status.service
-                and known.target_version == status.target_version
-                and known.state is not orders.RolloutState.RUNNING
-                and not (
-                    may_restart and status.state is orders.RolloutState.RUNNING
-                )
-            ):
-                return known
-        result = await self._store.append(
-            store_client.STATUS_TOPIC,
-            operator_wire.rollout_key(status.service),
-            operator_wire.encode_rollout_status(status),
-            _CALL_TIMEOUT_S,
-            newest.end,
-        )
-        self._set_backoff(result)
-        if isinstance(result, store_client.StoreFailure):
-            self._log_failure(status, result)
-            return None
-        return status
-
-    def _set_backoff(self, result: object) -> None:
-        """Delays further calls to the store if one has failed."""
-        failed = isinstance(result, store_client.StoreFailure)
-        self._backoff.on_result(failed=failed, now_s=self._clock())
+        since_s = max(decided_s, self._rewound_s)
+        return self._clock() >= since_s + _TAKEOVER_STEP_S * place
 
     def _adopt(self, rollout: _Rollout, status: orders.RolloutStatus) -> None:
         """Adopts a final state that was recorded for a rollout's order."""
@@ -443,37 +423,6 @@
         rollout.recorded = status.state
         self._apply(rollout, status.state)
 
-    def _log_failure(
-        self, status: orders.RolloutStatus, failure: store_client.StoreFailure
-    ) -> None:
-        self._log.warning(
-            "rollout state not recorded",
-            service=status.service,
-            state=status.state.value,
-            reason=failure.kind.value,
-            detail=failure.detail,
-        )
-
-    def _decode_states(
-        self, newest: store_client.NewestRecords
-    ) -> list[orders.RolloutStatus]:
-        found = []
-        for record in newest.records:
-            service = operator_wire.rollout_service(record.key)
-            if service is None or record.value is None:
-                continue
-            try:
-                found.append(
-                    operator_wire.decode_rollout_status(service, record.value)
-                )
-            except wire_values.WireValueError as error:
-                self._log.warning(
-                    "rollout state unreadable",
-                    service=service,
-                    reason=str(error),
-                )
-        return found
-
     def _report(self, rollout: _Rollout, now_s: float) -> heartbeat.TrialReport:
         trial = rollout.trial
         state = rollout.decision
@@ -507,6 +456,14 @@
         )
 
 
+def _is_same_order(rollout: _Rollout, report: heartbeat.TrialReport) -> bool:
+    trial = rollout.trial
+    return trial.order_offset == report.order_offset or (
+        rollout.has_moved
+        and trial.order.target_version == report.target_version
+    )
+
+
 def _evidence(
     rows: list[heartbeat.EvidenceRow],
 ) -> dict[str, version_trial.EvidencePair]:
--- a/packages/entry/src/magnoliacrank/entry/service_handlers.py
+++ b/packages/entry/src/magnoliacrank/entry/service_handlers.py
@@ -136,7 +136,7 @@
         self._view = view
         self._reader = reader
         self._trials = trials
-        self._encoded_changes: dict[tuple[int, int], bytes] = {}
+        self._encoded_changes: dict[tuple[int, int, int], bytes] = {}
         self._encoded_version: object = None
         self._metrics = metrics
         self._clock = clock
@@ -155,24 +155,32 @@
     def _records(self, target: str) -> bytes:
         query = parse.parse_qs(target.partition("?")[2])
         view = self._view
-        since = (_offset(query, "operators"), _offset(query, "servers"))
+        since = (
+            _offset(query, "era"),
+            _offset(query, "operators"),
+            _offset(query, "servers"),
+        )
+        operators_mark, servers_mark = view.offsets
         return peer_records.encode(
             peer_records.PeerRecords(
                 content=self._changes_content(since),
-                operators_mark=view.operators.mark,
-                servers_mark=view.servers.mark,
+                operators_mark=operators_mark,
+                servers_mark=servers_mark,
                 verified_age_ms=verified_age_ms(self._reader, self._clock()),
+                era=view.era,
             )
         )
 
-    def _changes_content(self, since: tuple[int, int]) -> bytes:
+    def _changes_content(self, since: tuple[int, int, int]) -> bytes:
         """Returns the encoded changes since two offsets, from the cache if set.
 
-        The cache is dropped as soon as the records or rollout states change.
+        For offsets of an older era of the store, these are all records. The
+        cache is dropped as soon as the records or rollout states change.
         """
         view = self._view
         states = self._trials.states()
-        at = (view.operators.mark, view.servers.mark, states)
+        held = len(view.operators.held) + len(view.servers.held)
+        at = (view.operators.mark, view.servers.mark, held, states)
         if (
             at != self._encoded_version
             or len(self._encoded_changes) >= _MAX_CACHED_CHANGES
@@ -180,18 +188,28 @@
             self._encoded_version = at
             self._encoded_changes = {}
         if since not in self._encoded_changes:
-            changes = peer_records.Changes(
-                operators=peer_records.to_rows(
-                    view.operators.changes_since(since[0])
-                ),
-                servers=peer_records.to_rows(
-                    view.servers.changes_since(since[1])
-                ),
-                states=states,
-            )
+            changes = self._changes(since)
+            changes.states = states
             self._encoded_changes[since] = peer_records.encode_changes(changes)
         return self._encoded_changes[since]
 
+    def _changes(self, since: tuple[int, int, int]) -> peer_records.Changes:
+        operators, servers = self._view.operators, self._view.servers
+        era, operators_since, servers_since = since
+        changes = peer_records.Changes(
+            operators=peer_records.to_rows(
+                operators.changes_since((era, operators_since)), operators.era
+            ),
+            servers=peer_records.to_rows(
+                servers.changes_since((era, servers_since)), servers.era
+            ),
+            states=None,
+        )
+        if era < self._view.era:
+            changes.operators_era = peer_records.to_era_rows(operators)
+            changes.servers_era = peer_records.to_era_rows(servers)
+        return changes
+
 
 def verified_age_ms(reader: site_reader.SiteReader, now_s: float) -> int:
     """Returns the milliseconds since a view was last known to be complete.
@@ -201,9 +219,10 @@
         now_s: Clock time in seconds.
 
     Returns:
-        The age, or -1 if the view was never known to be complete.
+        The age, or -1 if the view was never known to be complete, or its
+        offsets can't be compared with those of others.
     """
-    if reader.verified_s is None:
+    if reader.verified_s is None or reader.is_between_eras:
         return -1
     return max(round((now_s - reader.verified_s) * 1000), 0)
 
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -10,24 +10,21 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 from magnoliacrank.entry import owned_task
-from magnoliacrank.entry import peer_records
-from magnoliacrank.platform import operator_wire
-from magnoliacrank.platform import store_client
+from magnoliacrank.entry import store_reads
+from magnoliacrank.entry import view_updater
 from magnoliacrank.policy import record_sources
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import heartbeat
     from magnoliacrank.entry import keyed_view
     from magnoliacrank.entry import peer_fetcher
     from magnoliacrank.entry import site_view
-    from magnoliacrank.platform import store_records
+    from magnoliacrank.platform import store_client
     from magnoliacrank.policy import instance_roster
     from magnoliacrank.policy import peer_status
 
@@ -61,37 +58,10 @@
 """Delay after a heartbeat that announces changes, so that the heartbeats of
 several instances trigger one read."""
 
-_CALL_TIMEOUT_S = 1.0
-"""Timeout of one call to the store."""
-
-_INITIAL_BACKOFF_S = 0.5
-"""Delay after a failed read of the store; doubles up to `_MAX_BACKOFF_S`."""
-
-_MAX_BACKOFF_S = 2.0
-"""Longest delay between failed reads of the store."""
-
 _REQUEST_WAIT_S = 0.25
 """Longest time for which a caller's request waits for a read."""
 
 
-class RolloutStateStore(Protocol):
-    """Holds the recorded states of rollouts."""
-
-    async def load_states(self) -> bool:
-        """Reads the states from the store, unless they are loaded.
-
-        Returns:
-            Whether the states are loaded now.
-        """
-
-    def adopt_states(self, rows: list[peer_records.StateRow]) -> None:
-        """Uses the states that another instance has read, if none are loaded.
-
-        Args:
-            rows: Service, target version and state of each rollout.
-        """
-
-
 class SiteReader:
     """Replicates the store's records into the view of one instance.
 
@@ -120,27 +90,28 @@
         peers: peer_fetcher.PeerFetcher,
         roster: instance_roster.InstanceRoster,
         sources: record_sources.RecordSources,
-        states: RolloutStateStore,
+        states: view_updater.RolloutStateStore,
         log: event_log.EventLog,
         clock: Callable[[], float],
     ) -> None:
         self._view = view
-        self._store = store
         self._peers = peers
         self._roster = roster
         self._log = log
         self._clock = clock
         self._sources = sources
-        self._states = states
+        self._updater = view_updater.ViewUpdater(view, states, log, clock)
+        self._store_reads = store_reads.StoreReads(
+            view, store, self._updater, log, clock
+        )
         self._verified_s: float | None = None
-        self._failures = 0
         self._read_errors = 0
-        self._next_store_read_s = 0.0
         self._reading: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._on_change: Callable[[], None] = lambda: None
         self._on_store_read: Callable[[], None] = lambda: None
         self._wake = asyncio.Event()
+        store.add_era_listener(lambda _: self._wake.set())
 
     @property
     def verified_s(self) -> float | None:
@@ -150,13 +121,23 @@
     @property
     def is_store_unavailable(self) -> bool:
         """Whether the latest read of the store failed."""
-        return self._failures > 0
+        return self._store_reads.is_unavailable
 
     @property
     def read_errors(self) -> int:
         """Number of reads that ended by an unexpected exception."""
         return self._read_errors
 
+    @property
+    def rewinds(self) -> int:
+        """Number of times that the store came back from an older copy."""
+        return self._store_reads.rewinds
+
+    @property
+    def is_between_eras(self) -> bool:
+        """See `SiteView.is_between_eras`."""
+        return self._view.is_between_eras
+
     def set_change_handler(self, handler: Callable[[], None]) -> None:
         """Sets the callback for reads that changed the view."""
         self._on_change = handler
@@ -194,9 +175,11 @@
             operators=beat.operators_mark,
             servers=beat.servers_mark,
             verified_s=now_s - beat.verified_age_ms / 1000,
+            era=beat.store_era,
         )
+        self._store_reads.note_peer_era(sender.node, beat.store_era)
         self._view.on_store_answer(marks.verified_s)
-        self._sources.on_offsets(marks, self._seen, now_s)
+        self._sources.on_offsets(marks, self._seen, now_s, self._view.era)
         self._verify_from_peer(marks)
         if self._verified_s is None or self._is_behind():
             self._wake.set()
@@ -212,7 +195,7 @@
 
     async def refresh_for_request(self) -> None:
         """Refreshes a stale view, within the time that a request can wait."""
-        if self.is_fresh() or self._clock() < self._next_store_read_s:
+        if self.is_fresh() or self._clock() < self._store_reads.next_read_s:
             return
         reading = self._start_reading(record_sources.Source.STORE)
         await asyncio.wait({reading}, timeout=_REQUEST_WAIT_S)
@@ -227,7 +210,7 @@
                 the view is not refreshed.
         """
         now_s = self._clock()
-        if now_s < self._next_store_read_s:
+        if now_s < self._store_reads.next_read_s:
             return
         if self._verified_s is not None and (
             now_s - self._verified_s <= max_age_s and not self._is_behind()
@@ -238,7 +221,11 @@
 
     @property
     def _seen(self) -> tuple[int, int]:
-        return (self._view.operators.seen, self._view.servers.seen)
+        return (self._view.operators.seen[1], self._view.servers.seen[1])
+
+    @property
+    def _marks(self) -> tuple[keyed_view.Position, keyed_view.Position]:
+        return (self._view.operators.mark, self._view.servers.mark)
 
     async def _run(self) -> None:
         while True:
@@ -246,6 +233,7 @@
             source = self._next_source(self._clock())
             if source is not record_sources.Source.NONE:
                 await asyncio.wait({self._start_reading(source)})
+            self._settle()
             try:
                 async with asyncio.timeout(_TICK_S):
                     await self._wake.wait()
@@ -254,9 +242,15 @@
             # Heartbeats of several instances arrive at nearly the same time.
             await asyncio.sleep(_BATCH_DELAY_S)
 
+    def _settle(self) -> None:
+        before = self._marks
+        self._updater.settle()
+        if before != self._marks:
+            self._on_change()
+
     def _next_source(self, now_s: float) -> record_sources.Source:
         verified_s = self._verified_s
-        may_read_store = now_s >= self._next_store_read_s
+        may_read_store = now_s >= self._store_reads.next_read_s
         source = self._sources.next_source(
             self._place(now_s),
             now_s,
@@ -292,13 +286,15 @@
         )
 
     def _is_behind(self) -> bool:
-        return self._sources.is_behind(self._seen)
+        return self._sources.is_behind(self._seen, self._view.era)
 
     def _verify_from_peer(self, marks: record_sources.RecordOffsets) -> None:
         """Verifies the view by an instance that has no newer changes."""
         operators_seen, servers_seen = self._seen
         if (
-            marks.operators <= operators_seen
+            marks.era == self._view.era
+            and not self._view.is_between_eras
+            and marks.operators <= operators_seen
             and marks.servers <= servers_seen
             and self._view.plan is not None
         ):
@@ -323,18 +319,18 @@
         except Exception:
             # The records count as unread; the next read brings them again.
             self._read_errors += 1
-            self._next_store_read_s = self._clock() + _INITIAL_BACKOFF_S
+            self._store_reads.on_error()
             raise
 
     async def _read_from(self, source: record_sources.Source) -> None:
-        before = (self._view.operators.mark, self._view.servers.mark)
+        before = self._marks
         asks_peers_first = self._asks_peers_first()
         is_done = asks_peers_first and await self._read_peers()
         if not is_done and source is record_sources.Source.STORE:
             is_done = await self._read_store()
             if not is_done and not asks_peers_first:
                 await self._read_peers()
-        if before != (self._view.operators.mark, self._view.servers.mark):
+        if before != self._marks:
             self._on_change()
         for marks in self._sources.marks:
             self._verify_from_peer(marks)
@@ -370,116 +366,26 @@
         view = self._view
         requested_s = self._clock()
         found = await self._peers.fetch(
-            ip, view.operators.seen, view.servers.seen
+            ip, view.era, view.operators.seen[1], view.servers.seen[1]
         )
-        if found is None or found.verified_age_ms < 0:
-            return False
-        changes = peer_records.decode_changes(found.content)
-        if changes is None:
-            return False
-        operators = peer_records.from_rows(changes.operators)
-        if changes.states is not None:
-            self._states.adopt_states(changes.states)
-        if not await self._ensure_rollout_states(operators):
+        if found is None or not await self._updater.merge_peer_records(
+            found, requested_s
+        ):
             return False
-        self._view.on_store_answer(requested_s - found.verified_age_ms / 1000)
-        self._apply(view.operators, operators)
-        self._apply(view.servers, peer_records.from_rows(changes.servers))
-        view.operators.note_seen(found.operators_mark)
-        view.servers.note_seen(found.servers_mark)
-        self._sources.on_read(self._seen, self._clock(), is_complete=False)
+        self._store_reads.note_peer_era(ip, found.era)
+        self._sources.on_read(
+            self._seen, self._clock(), view.era, is_complete=False
+        )
         self._verify(requested_s - found.verified_age_ms / 1000)
         return not self._is_behind()
 
-    async def _ensure_rollout_states(
-        self, records: Iterable[store_records.KeyedRecord]
-    ) -> bool:
-        """Loads the recorded rollout states if records contain an order.
-
-        An earlier process may have recorded the outcome of the order.
-
-        Returns:
-            False if the states are needed but can't be loaded.
-        """
-        has_order = any(
-            record.value is not None
-            and operator_wire.rollout_service(record.key) is not None
-            for record in records
-        )
-        return not has_order or await self._states.load_states()
-
     async def _read_store(self) -> bool:
         started_s = self._clock()
-        view = self._view
-        failures = await asyncio.gather(
-            self._read_topic(store_client.OPERATOR_TOPIC, view.operators),
-            self._read_topic(store_client.SERVERS_TOPIC, view.servers),
+        if not await self._store_reads.read():
+            return False
+        self._verify(started_s)
+        self._sources.on_read(
+            self._seen, self._clock(), self._view.era, is_complete=True
         )
-        failure = next((item for item in failures if item is not None), None)
-        self._record_store_result(failure)
-        if failure is None:
-            self._verify(started_s)
-            self._sources.on_read(self._seen, self._clock(), is_complete=True)
-            self._on_store_read()
-        return failure is None
-
-    async def _read_topic(
-        self, topic: str, view: keyed_view.KeyedView
-    ) -> store_client.StoreFailure | None:
-        if view.next_offset:
-            page = await self._store.read(
-                topic, view.next_offset, 0.0, _CALL_TIMEOUT_S
-            )
-            if not isinstance(page, store_client.StoreFailure):
-                self._view.on_store_answer(self._clock())
-                if view is self._view.operators:
-                    await self._ensure_rollout_states(page.records)
-                self._apply(view, list(page.records))
-                view.advance(page.next_offset)
-                return None
-            if page.kind is not store_client.StoreFailureKind.EXPIRED:
-                return page
-            self._log.event("store history expired", topic=topic)
-        newest = await self._store.newest(topic, _CALL_TIMEOUT_S)
-        if isinstance(newest, store_client.StoreFailure):
-            return newest
-        self._view.on_store_answer(self._clock())
-        if view is self._view.operators:
-            await self._ensure_rollout_states(newest.records)
-        self._apply(view, view.expand_listing(newest))
-        view.advance(newest.end)
-        return None
-
-    def _apply(
-        self,
-        view: keyed_view.KeyedView,
-        records: list[store_records.KeyedRecord],
-    ) -> None:
-        with view.merging(records) as changed:
-            if not changed:
-                return
-            if view is self._view.operators:
-                self._view.apply_operators(changed)
-            else:
-                self._view.apply_servers(changed)
-
-    def _record_store_result(
-        self, failure: store_client.StoreFailure | None
-    ) -> None:
-        now_s = self._clock()
-        if failure is None:
-            if self._failures:
-                self._log.event("store regained", failures=self._failures)
-            self._failures = 0
-            self._next_store_read_s = 0.0
-        else:
-            if not self._failures:
-                self._log.warning(
-                    "store lost",
-                    reason=failure.kind.value,
-                    detail=failure.detail,
-                )
-            backoff_s = _INITIAL_BACKOFF_S * 2 ** min(self._failures, 4)
-            self._failures += 1
-            self._next_store_read_s = now_s + min(backoff_s, _MAX_BACKOFF_S)
-            self._view.on_store_failure()
+        self._on_store_read()
+        return True
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import collections
-import itertools
 from typing import TYPE_CHECKING
 from typing import Protocol
 
 from magnoliacrank.entry import keyed_view
+from magnoliacrank.entry import record_comparison
+from magnoliacrank.entry import server_entries
 from magnoliacrank.model import orders
-from magnoliacrank.platform import backend_wire
 from magnoliacrank.platform import operator_wire
 from magnoliacrank.platform import wire_values
-from magnoliacrank.policy import lapsed_entries
 from magnoliacrank.policy import version_choice
 
 if TYPE_CHECKING:
@@ -75,15 +73,19 @@
         self._log = log
         self._clock = clock
         self._listeners: list[SiteListener] = []
-        self.operators = keyed_view.KeyedView(_is_same_value)
-        self.servers = keyed_view.KeyedView(_is_same_entry)
+        self.operators = keyed_view.KeyedView(
+            record_comparison.OperatorComparison()
+        )
+        self.servers = keyed_view.KeyedView(
+            record_comparison.ServerComparison()
+        )
         self._plan: route_plan.RoutePlan | None = None
         self._evacuated: frozenset[str] = frozenset()
         self._orders: dict[str, tuple[orders.RolloutOrder, int]] = {}
         self._statuses: dict[str, orders.RolloutStatus] = {}
-        self._entries: dict[str, backend_entry.BackendEntry] = {}
-        self._lapsed = lapsed_entries.LapsedEntries()
-        self._retained_entries: dict[str, backend_entry.BackendEntry] = {}
+        self._entries = server_entries.ServerEntries(
+            log, clock, self._notify_backend_gone
+        )
         self._versions = version_choice.VersionChoice()
         self._by_service: dict[str, list[backend_entry.BackendEntry]] = {}
         self._unreadable_records = 0
@@ -91,7 +93,25 @@
     @property
     def unreadable_records(self) -> int:
         """Number of changed records that were refused as unreadable."""
-        return self._unreadable_records
+        return self._unreadable_records + self._entries.unreadable_records
+
+    @property
+    def era(self) -> int:
+        """Era of the store in which both topics were read; 0 for none."""
+        return min(self.operators.era, self.servers.era)
+
+    @property
+    def is_between_eras(self) -> bool:
+        """Whether only one of the topics was read in the newest era.
+
+        Their offsets can't be stated together then.
+        """
+        return self.operators.era != self.servers.era
+
+    @property
+    def offsets(self) -> tuple[int, int]:
+        """Offsets after the newest change by operators and by servers."""
+        return (self.operators.mark[1], self.servers.mark[1])
 
     @property
     def plan(self) -> route_plan.RoutePlan | None:
@@ -112,7 +132,7 @@
     def has_backends(self) -> bool:
         """Whether any backend server is known."""
         self._drop_expired_entries()
-        return bool(self._entries or self._retained_entries)
+        return self._entries.has_any
 
     def add_listener(self, listener: SiteListener) -> None:
         """Adds a listener that is called after changes."""
@@ -156,20 +176,18 @@
         store lost them.
         """
         target = self.target_version(service)
-        if target is None or self._lapsed.may_lack_unknown_entries(
-            self._clock()
-        ):
+        if target is None or self._entries.may_lack_unknown_entries:
             return False
         self._drop_expired_entries()
         return all(
             entry.version == target
-            for entry in self._known_entries()
+            for entry in self._entries.known()
             if entry.service == service
         )
 
     def on_store_failure(self) -> None:
         """Records that a read of the store by this instance failed."""
-        self._lapsed.on_store_failure()
+        self._entries.on_store_failure()
 
     def on_store_answer(self, answered_s: float) -> None:
         """Records that the store answered a read of this or another instance.
@@ -179,7 +197,11 @@
         Args:
             answered_s: Clock time of the read in seconds.
         """
-        self._lapsed.on_store_answer(answered_s)
+        self._entries.on_store_answer(answered_s)
+
+    def on_store_rewound(self) -> None:
+        """Records that the store came back from an older copy."""
+        self._entries.on_store_rewound()
 
     def apply_status(self, status: orders.RolloutStatus) -> None:
         """Applies a recorded or just decided state of a rollout."""
@@ -217,13 +239,11 @@
             ExceptionGroup: Some records could not be applied, for a reason
                 other than their contents; the others are in force.
         """
-        errors = _apply_each(self._apply_server, changed)
+        errors = _apply_each(self._entries.apply, changed)
         self._rebuild_index()
-        counts = collections.Counter(
-            entry.data_centre for entry in self._entries.values()
-        )
+        counts = self._entries.counts()
         for listener in self._listeners:
-            listener.on_servers(dict(counts))
+            listener.on_servers(counts)
         _raise_together(errors)
 
     def _apply_operator(self, record: store_records.KeyedRecord) -> None:
@@ -290,58 +310,6 @@
             self._log.event("evacuated", data_centres=sorted(evacuated))
             self._evacuated = evacuated
 
-    def _apply_server(self, record: store_records.KeyedRecord) -> None:
-        before = self._entries.get(record.key)
-        entry = self._decode_entry(record)
-        if entry is None:
-            self._remove(
-                record.key, before, is_unreadable=record.value is not None
-            )
-            return
-        retained = self._retained_entries.pop(record.key, None)
-        before = before or retained
-        self._entries[record.key] = entry
-        if before is not None and before.born_ms != entry.born_ms:
-            self._notify_backend_gone(record.key)
-        self._log.event(
-            "server registered" if before is None else "server changed",
-            server=entry.server_id,
-            service=entry.service,
-            address=f"{entry.host}:{entry.port}",
-            version=entry.version,
-            draining=entry.is_draining,
-        )
-
-    def _remove(
-        self,
-        server_id: str,
-        before: backend_entry.BackendEntry | None,
-        *,
-        is_unreadable: bool,
-    ) -> None:
-        if before is None:
-            return
-        del self._entries[server_id]
-        now_s = self._clock()
-        if not is_unreadable and not before.is_draining:
-            self._lapsed.on_entry_removed(server_id, now_s)
-        if self._lapsed.is_lapsed(server_id, now_s):
-            self._retained_entries[server_id] = before
-        else:
-            self._notify_backend_gone(server_id)
-        self._log.event("server removed", server=server_id)
-
-    def _decode_entry(
-        self, record: store_records.KeyedRecord
-    ) -> backend_entry.BackendEntry | None:
-        if record.value is None:
-            return None
-        try:
-            return backend_wire.decode_entry(record.key, record.value)
-        except wire_values.WireValueError as error:
-            self._refuse("server entry unreadable", error, server=record.key)
-            return None
-
     def _refuse(
         self, event: str, error: wire_values.WireValueError, **fields: object
     ) -> None:
@@ -353,30 +321,8 @@
         for listener in self._listeners:
             listener.on_backend_gone(server_id)
 
-    def _known_entries(self) -> Iterable[backend_entry.BackendEntry]:
-        """Returns the registered servers and those retained after an outage.
-
-        The latter are servers whose entries expired during a store outage.
-        They stay in use until a deadline by which entries of living servers
-        have been written again.
-        """
-        return itertools.chain(
-            self._entries.values(), self._retained_entries.values()
-        )
-
     def _drop_expired_entries(self) -> None:
-        if not self._retained_entries:
-            return
-        now_s = self._clock()
-        expired = [
-            server_id
-            for server_id in self._retained_entries
-            if not self._lapsed.is_lapsed(server_id, now_s)
-        ]
-        for server_id in expired:
-            del self._retained_entries[server_id]
-            self._notify_backend_gone(server_id)
-        if expired:
+        if self._entries.drop_expired():
             self._rebuild_index()
 
     def _is_decided(self, order: orders.RolloutOrder) -> bool:
@@ -390,7 +336,7 @@
     def _rebuild_index(self) -> None:
         """Rebuilds the index of servers that may get requests, by service."""
         by_service: dict[str, list[backend_entry.BackendEntry]] = {}
-        for entry in self._known_entries():
+        for entry in self._entries.known():
             by_service.setdefault(entry.service, []).append(entry)
         for service, entries in by_service.items():
             order = self._orders.get(service)
@@ -431,18 +377,3 @@
 def _raise_together(errors: list[Exception]) -> None:
     if errors:
         raise ExceptionGroup("records not applied", errors)
-
-
-def _is_same_value(before: bytes | None, after: bytes | None) -> bool:
-    return before == after
-
-
-def _is_same_entry(before: bytes | None, after: bytes | None) -> bool:
-    if before is None or after is None:
-        return before == after
-    try:
-        old = backend_wire.decode_entry("", before)
-        new = backend_wire.decode_entry("", after)
-    except wire_values.WireValueError:
-        return before == after
-    return old.without_warmup() == new.without_warmup()
--- a/packages/entry/tests/test_odd_records.py
+++ b/packages/entry/tests/test_odd_records.py
@@ -11,6 +11,7 @@
 
 from magnoliacrank.entry import heartbeat
 from magnoliacrank.entry import peer_records
+from magnoliacrank.entry import server_entries
 from magnoliacrank.entry import site_view
 from magnoliacrank.standins import platform_store
 
@@ -135,14 +136,14 @@
     await site.add_backend("s1")
     instance = await site.add_instance()
     await site.ready()
-    apply = site_view.SiteView._apply_server
+    apply = server_entries.ServerEntries.apply
 
     def apply_server(view, record):
         if record.key == "foreign":
             raise RuntimeError("fault of the test")
         apply(view, record)
 
-    monkeypatch.setattr(site_view.SiteView, "_apply_server", apply_server)
+    monkeypatch.setattr(server_entries.ServerEntries, "apply", apply_server)
     site.store.put("keyed.servers", "foreign", json.dumps(ENTRY).encode())
     await site.add_backend("s2")
     await site.until(lambda: instance._view.entry("s2") is not None)
--- a/packages/platform/src/magnoliacrank/platform/store_records.py
+++ b/packages/platform/src/magnoliacrank/platform/store_records.py
@@ -154,9 +154,7 @@
     return contents
 
 
-def _decode_keyed(
-    content: bytes, offset: int, era: int
-) -> KeyedRecord | None:
+def _decode_keyed(content: bytes, offset: int, era: int) -> KeyedRecord | None:
     if not content:
         return None
     size = content[0]
--- a/packages/policy/src/magnoliacrank/policy/announce_schedule.py
+++ b/packages/policy/src/magnoliacrank/policy/announce_schedule.py
@@ -62,6 +62,7 @@
         self._isolation_timeout_s = _ISOLATION_TIMEOUT_S if has_seeds else 0.0
         self._duty_since_s: float | None = None
         self._is_announced = False
+        self._is_lost = False
         self._next_read_s = started_s
         self._next_attempt_s = started_s
         self._backoff_s = _INITIAL_BACKOFF_S
@@ -90,7 +91,9 @@
         )
         # Announces before it reads, so that of two instances which start
         # together at least one finds the other's address.
-        if not self._is_announced and (is_isolated or is_duty_holder):
+        if self._is_lost or (
+            not self._is_announced and (is_isolated or is_duty_holder)
+        ):
             return Step.ANNOUNCE
         is_reader = is_duty_holder and duty_order == 0
         if (is_isolated or is_reader) and now_s >= self._next_read_s:
@@ -100,8 +103,17 @@
     def on_announced(self) -> None:
         """Records that this instance's address was written to the store."""
         self._is_announced = True
+        self._is_lost = False
         self._backoff_s = _INITIAL_BACKOFF_S
 
+    def on_store_rewound(self) -> None:
+        """Records that the store may have lost this instance's address.
+
+        An instance that has announced it does so again, whether or not it is
+        still isolated or on duty.
+        """
+        self._is_lost = self._is_announced
+
     def on_read(self, now_s: float) -> None:
         """Records that the addresses of the other instances were read.
 
--- a/packages/policy/src/magnoliacrank/policy/lapsed_entries.py
+++ b/packages/policy/src/magnoliacrank/policy/lapsed_entries.py
@@ -55,6 +55,16 @@
         self._answered_s = answered_s
         self._has_failed = False
 
+    def on_store_rewound(self, now_s: float) -> None:
+        """Records that the store came back from an older copy.
+
+        It may lack entries that were written since the copy.
+
+        Args:
+            now_s: Current monotonic time, in seconds.
+        """
+        self._incomplete_until_s = now_s + REAPPEAR_WINDOW_S
+
     def _is_outage(self, answered_s: float) -> bool:
         """Returns whether an answer is the first one after an outage."""
         if self._answered_s is None:
--- a/packages/policy/src/magnoliacrank/policy/record_sources.py
+++ b/packages/policy/src/magnoliacrank/policy/record_sources.py
@@ -87,6 +87,10 @@
     """Latest monotonic time in seconds at which the instance was proved to have
     all changes."""
 
+    era: int = 0
+    """Era of the store to which the offsets belong; they start lower in a newer
+    one."""
+
 
 @attrs.frozen
 class MeshPosition:
@@ -109,7 +113,8 @@
     Keeps what other instances report about their records, and how long this
     instance has lacked some. In each pair of store offsets the first is that
     after the newest change by operators, the second that after the newest
-    change of backend servers.
+    change of backend servers. Offsets of different eras of the store aren't
+    compared: any report of a newer era means that records are missing.
 
     Args:
         started_s: Monotonic time in seconds at which this instance started.
@@ -137,6 +142,7 @@
         self._jitter_s = rng.uniform(0.0, _MAX_JITTER_S)
         self._rng = rng
         self._marks: dict[str, RecordOffsets] = {}
+        self._newest_era = 0
         self._newest_offsets = (0, 0)
         self._behind_since_s: float | None = None
 
@@ -146,7 +152,11 @@
         return list(self._marks.values())
 
     def on_offsets(
-        self, marks: RecordOffsets, seen: tuple[int, int], now_s: float
+        self,
+        marks: RecordOffsets,
+        seen: tuple[int, int],
+        now_s: float,
+        era: int = 0,
     ) -> None:
         """Records another instance's report about its records.
 
@@ -154,36 +164,51 @@
             marks: The report.
             seen: Offsets before which this instance lacks no change.
             now_s: Current monotonic time, in seconds.
+            era: Era of `seen`.
         """
         self._marks[marks.node] = marks
-        self._newest_offsets = (
-            max(self._newest_offsets[0], marks.operators),
-            max(self._newest_offsets[1], marks.servers),
-        )
-        self._update_behind_since(seen, now_s)
+        if marks.era > self._newest_era:
+            self._newest_era = marks.era
+            self._newest_offsets = (0, 0)
+        if marks.era == self._newest_era:
+            self._newest_offsets = (
+                max(self._newest_offsets[0], marks.operators),
+                max(self._newest_offsets[1], marks.servers),
+            )
+        self._update_behind_since(seen, now_s, era)
 
     def on_read(
-        self, seen: tuple[int, int], now_s: float, *, is_complete: bool
+        self,
+        seen: tuple[int, int],
+        now_s: float,
+        era: int = 0,
+        *,
+        is_complete: bool,
     ) -> None:
         """Records that this instance has read records.
 
         Args:
             seen: Offsets before which this instance lacks no change.
             now_s: Current monotonic time, in seconds.
+            era: Era of `seen`.
             is_complete: Whether the store itself was read, so that no other
                 instance can have newer records. Higher offsets that others
                 reported earlier are then dropped.
         """
         if is_complete:
+            self._newest_era = era
             self._newest_offsets = seen
-        self._update_behind_since(seen, now_s)
+        self._update_behind_since(seen, now_s, era)
 
-    def is_behind(self, seen: tuple[int, int]) -> bool:
+    def is_behind(self, seen: tuple[int, int], era: int = 0) -> bool:
         """Whether another instance has reported changes that this one lacks.
 
         Args:
             seen: Offsets before which this instance lacks no change.
+            era: Era of `seen`.
         """
+        if era != self._newest_era:
+            return era < self._newest_era
         return (
             self._newest_offsets[0] > seen[0]
             or self._newest_offsets[1] > seen[1]
@@ -249,6 +274,7 @@
         ]
         ranked = [
             (
+                marks.era < self._newest_era,
                 marks.operators < self._newest_offsets[0],
                 marks.servers < self._newest_offsets[1],
                 marks.data_centre != place.data_centre,
@@ -257,8 +283,8 @@
             )
             for marks in fresh
         ]
-        ranked.sort(key=lambda item: item[:4])
-        return [item[4] for item in ranked]
+        ranked.sort(key=lambda item: item[:-1])
+        return [item[-1] for item in ranked]
 
     def _peer_wait_s(self, best: RecordOffsets, place: MeshPosition) -> float:
         is_local = best.data_centre == place.data_centre
@@ -266,8 +292,10 @@
             return self._jitter_s if is_local else _FOLLOWER_REMOTE_WAIT_S
         return 0.0 if is_local else _REMOTE_FETCH_STAGGER_S * place.position
 
-    def _update_behind_since(self, seen: tuple[int, int], now_s: float) -> None:
-        if not self.is_behind(seen):
+    def _update_behind_since(
+        self, seen: tuple[int, int], now_s: float, era: int
+    ) -> None:
+        if not self.is_behind(seen, era):
             self._behind_since_s = None
         elif self._behind_since_s is None:
             self._behind_since_s = now_s
