Give an instance that starts after the store came back what others retain

It read the copy in the store before it heard of others, and served by an older configuration than theirs. Heartbeats state how many records the sender holds back; an instance whose first era this is asks one of them once.

--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -284,6 +284,7 @@
             loads=[
                 attrs.astuple(load) for load in self._state.own_loads(now_s)
             ],
+            held=len(view.operators.held) + len(view.servers.held),
         )
 
     def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -120,6 +120,10 @@
     loads: list[ServiceLoadRow]
     """Load of each service that the sender has requests for."""
 
+    held: Count = 0
+    """Number of records of the store's era that the sender doesn't use yet,
+    since it retains others that the store may have lost."""
+
     @property
     def service_loads(self) -> list[service_load.ServiceLoad]:
         """Load of each service that the sender has requests for."""
--- a/packages/entry/src/magnoliacrank/entry/keyed_view.py
+++ b/packages/entry/src/magnoliacrank/entry/keyed_view.py
@@ -71,6 +71,7 @@
     """State of a view, of which a copy undoes a failed change of era."""
 
     era: int = 0
+    first_era: int | None = None
     records: dict[str, store_records.KeyedRecord] = attrs.field(factory=dict)
     changed: dict[str, Position] = attrs.field(factory=dict)
     held: dict[str, _HeldRecord] = attrs.field(factory=dict)
@@ -111,6 +112,11 @@
         """Era of the store in which this view is complete up to `seen`."""
         return self._content.era
 
+    @property
+    def is_first_era(self) -> bool:
+        """Whether the view was empty at the start of its era."""
+        return self._content.first_era == self._content.era
+
     @property
     def next_offset(self) -> int:
         """Offset in the topic from which the next read of the store starts."""
@@ -176,6 +182,9 @@
     ) -> Iterator[list[store_records.KeyedRecord]]:
         """Starts an era, while the caller applies the changes.
 
+        The view may have started the same era already, from a listing without
+        the records that another instance retains.
+
         If applying them raises an exception, the era counts as not started.
 
         Args:
@@ -263,34 +272,56 @@
         self, listing: EraListing, now_s: float
     ) -> list[store_records.KeyedRecord]:
         content = self._content
-        content.held.clear()
-        changed = {
-            record.key: record
-            for record in listing.retained
-            if self._merge(record)
-        }
-        content.era = listing.era
-        content.next_offset = 0
-        content.certain_from = listing.end
-        content.mark = (listing.era, 0)
-        content.seen = (listing.era, listing.end)
         listed = {
             key: store_records.KeyedRecord(
                 key, None, listing.end - 1, listing.era
             )
             for key in content.records
         }
+        if listing.era == content.era:
+            listed.update(content.records)
+        else:
+            content.held.clear()
         listed.update((record.key, record) for record in listing.records)
+        changed = {
+            record.key: record
+            for record in listing.retained
+            if self._merge_retained(record, listing)
+        }
+        if listing.era != content.era:
+            content.era = listing.era
+            if content.first_era is None:
+                content.first_era = listing.era
+            content.next_offset = 0
+            content.certain_from = listing.end
+            content.mark = (listing.era, 0)
+            content.seen = (listing.era, listing.end)
         for record in listed.values():
             if self._merge_listed(record, now_s):
                 changed[record.key] = record
         return list(changed.values())
 
+    def _merge_retained(
+        self, record: store_records.KeyedRecord, listing: EraListing
+    ) -> bool:
+        """Merges a record of an older era that another instance retains."""
+        content = self._content
+        known = content.records.get(record.key)
+        if known is None or known.era < listing.era:
+            return self._merge(record)
+        if known.offset >= listing.end:
+            return False
+        content.records[record.key] = record
+        content.changed[record.key] = record.position
+        return not self._comparison.is_same(known.value, record.value)
+
     def _merge_listed(
         self, record: store_records.KeyedRecord, now_s: float
     ) -> bool:
         content = self._content
         known = content.records.get(record.key)
+        if known is not None and known.position >= record.position:
+            return False
         if (
             known is None
             or record.offset >= content.certain_from
--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -106,6 +106,8 @@
         )
         self._verified_s: float | None = None
         self._read_errors = 0
+        self._retaining_ip: str | None = None
+        self._has_retained = False
         self._reading: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._on_change: Callable[[], None] = lambda: None
@@ -181,9 +183,20 @@
         self._view.on_store_answer(marks.verified_s)
         self._sources.on_offsets(marks, self._seen, now_s, self._view.era)
         self._verify_from_peer(marks)
+        if beat.held and beat.store_era == self._view.era:
+            self._ask_for_retained(sender.ip)
         if self._verified_s is None or self._is_behind():
             self._wake.set()
 
+    def _ask_for_retained(self, ip: str) -> None:
+        """Asks another instance once for what the store may have lost.
+
+        Only an instance that started in this era of the store lacks it.
+        """
+        if self._view.operators.is_first_era and not self._has_retained:
+            self._retaining_ip = ip
+            self._wake.set()
+
     def is_fresh(self) -> bool:
         """Whether the view was verified recently and lacks no known change."""
         verified_s = self._verified_s
@@ -231,6 +244,8 @@
         while True:
             self._wake.clear()
             source = self._next_source(self._clock())
+            if self._retaining_ip and source is record_sources.Source.NONE:
+                source = record_sources.Source.PEER
             if source is not record_sources.Source.NONE:
                 await asyncio.wait({self._start_reading(source)})
             self._settle()
@@ -271,18 +286,8 @@
         return READ_INTERVAL_S - _TICK_S / 2 + TAKEOVER_STEP_S * place
 
     def _place(self, now_s: float) -> record_sources.MeshPosition:
-        own = self._roster.own
-        mesh = self._roster.mesh(now_s)
-        local = [
-            fact.node
-            for fact in mesh.members.values()
-            if fact.data_centre == own.data_centre
-        ]
-        is_follower = own.node not in local
-        return record_sources.MeshPosition(
-            own.data_centre,
-            is_follower,
-            0 if is_follower else local[::-1].index(own.node),
+        return record_sources.mesh_position(
+            self._roster.own, self._roster.mesh(now_s).members.values()
         )
 
     def _is_behind(self) -> bool:
@@ -324,6 +329,9 @@
 
     async def _read_from(self, source: record_sources.Source) -> None:
         before = self._marks
+        if self._retaining_ip is not None:
+            ip, self._retaining_ip = self._retaining_ip, None
+            self._has_retained = await self._read_peer(ip, era=0)
         asks_peers_first = self._asks_peers_first()
         is_done = asks_peers_first and await self._read_peers()
         if not is_done and source is record_sources.Source.STORE:
@@ -362,11 +370,11 @@
                 return True
         return False
 
-    async def _read_peer(self, ip: str) -> bool:
+    async def _read_peer(self, ip: str, era: int | None = None) -> bool:
         view = self._view
         requested_s = self._clock()
         found = await self._peers.fetch(
-            ip, view.era, view.operators.seen[1], view.servers.seen[1]
+            ip, view.era if era is None else era, *self._seen
         )
         if found is None or not await self._updater.merge_peer_records(
             found, requested_s
--- a/packages/entry/src/magnoliacrank/entry/view_updater.py
+++ b/packages/entry/src/magnoliacrank/entry/view_updater.py
@@ -122,7 +122,7 @@
             return False
         view.on_store_answer(asked_s - found.verified_age_ms / 1000)
         for topic, records, rows in topics:
-            if topic.era < found.era and rows is not None:
+            if rows is not None:
                 self._start_era(
                     topic, peer_records.to_listing(records, rows, found.era)
                 )
@@ -175,7 +175,7 @@
         self, view: keyed_view.KeyedView, listing: keyed_view.EraListing
     ) -> None:
         before = view.era
-        is_rewound = bool(view.values())
+        is_rewound = before != listing.era and bool(view.values())
         if is_rewound:
             self._view.on_store_rewound()
         with view.starting_era(listing, self._clock()) as changed:
--- a/packages/policy/src/magnoliacrank/policy/record_sources.py
+++ b/packages/policy/src/magnoliacrank/policy/record_sources.py
@@ -15,8 +15,11 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     import random
 
+    from magnoliacrank.policy import peer_status
+
 MAX_PROOF_AGE_S = 1.3
 """Maximum age of the last proof that an instance's records are complete, up to
 which it uses them without asking others."""
@@ -107,6 +110,23 @@
     follower."""
 
 
+def mesh_position(
+    own: peer_status.PeerStatus, members: Iterable[peer_status.PeerStatus]
+) -> MeshPosition:
+    """Returns the position of an instance among the members of the mesh.
+
+    Args:
+        own: The instance.
+        members: The members of the mesh, in the order of their table.
+    """
+    local = [
+        fact.node for fact in members if fact.data_centre == own.data_centre
+    ]
+    is_follower = own.node not in local
+    position = 0 if is_follower else local[::-1].index(own.node)
+    return MeshPosition(own.data_centre, is_follower, position)
+
+
 class RecordSources:
     """Chooses where and when an instance fetches records that it lacks.
 
