Keep the list and the log of serve apart by era

The instance list of serve took an announcement at a lower offset for an older one, so all instances would have left the list 30 s after the store came back. Renewals are ordered by era and offset; entries that a new era lacks stay listed for a while. Known state stays in use.

--- a/packages/cli/src/magnoliacrank/cli/listing_task.py
+++ b/packages/cli/src/magnoliacrank/cli/listing_task.py
@@ -10,6 +10,7 @@
 from magnoliacrank.model import instance
 from magnoliacrank.platform import instance_list
 from magnoliacrank.policy import instance_leases
+from magnoliacrank.policy import lost_entries
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,6 +43,7 @@
         self._listeners = listeners
         self._clock = clock
         self._leases = instance_leases.InstanceLeases()
+        self._lost = lost_entries.LostEntries()
         self._last_listing = instance.LiveListing()
         self._task = periodic_task.PeriodicTask("list", period_s, self._read)
 
@@ -55,7 +57,9 @@
 
     async def _read(self) -> None:
         try:
-            announced = await self._source.fetch()
+            announced = self._lost.complete(
+                await self._source.fetch(), self._clock()
+            )
         except instance_list.InstanceListUnavailableError as error:
             logging.log_every_n_seconds(
                 logging.WARNING,
--- a/packages/model/src/magnoliacrank/model/instance.py
+++ b/packages/model/src/magnoliacrank/model/instance.py
@@ -42,7 +42,11 @@
     """The instance as it described itself."""
 
     renewal_offset: ids.LogOffset
-    """Offset of the newest announcement record; larger after each renewal."""
+    """Offset of the newest announcement record; larger after each renewal, but
+    for a new era of the store."""
+
+    era: int = 0
+    """Era of the store in which the record was read at that offset."""
 
 
 @attrs.frozen
@@ -58,6 +62,9 @@
     servers: tuple[server.BackendServer, ...] = ()
     """Backend servers of all services."""
 
+    era: int = 0
+    """Era of the store in which all of it was read; 0 if it states none."""
+
 
 @attrs.frozen
 class LiveListing:
--- a/packages/platform/src/magnoliacrank/platform/log_service.py
+++ b/packages/platform/src/magnoliacrank/platform/log_service.py
@@ -17,6 +17,10 @@
     """The log service refused or could not be reached; nothing was written."""
 
 
+class LogRewoundError(LogUnavailableError):
+    """The log came back from an older copy, so known offsets mean nothing."""
+
+
 class AppendOutcomeUnknownError(Exception):
     """The outcome of an append is unknown; the records may be in the log."""
 
@@ -62,6 +66,8 @@
             The offset of the first record; the others follow it.
 
         Raises:
+            LogRewoundError: The log came back from an older copy; nothing was
+                written.
             LogUnavailableError: Nothing was written.
             AppendOutcomeUnknownError: The records may have been written.
         """
@@ -82,6 +88,7 @@
                 seconds.
 
         Raises:
+            LogRewoundError: The log came back from an older copy.
             LogUnavailableError: The log service gave no usable response.
         """
         ...
--- a/packages/platform/src/magnoliacrank/platform/store_client.py
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -290,7 +290,11 @@
         return await self._append(topic, body, timeout_s, expected_end, era)
 
     async def append_plain(
-        self, topic: str, contents: Sequence[bytes], timeout_s: float
+        self,
+        topic: str,
+        contents: Sequence[bytes],
+        timeout_s: float,
+        era: int | None = None,
     ) -> int | StoreFailure:
         """Appends records to a topic without keys, either all or none.
 
@@ -298,12 +302,13 @@
             topic: Name of the topic.
             contents: Contents of the records, at least one.
             timeout_s: Longest time for the response, in seconds.
+            era: See `append`.
 
         Returns:
             The offset of the first record; the others follow it.
         """
         body = b"".join(map(store_records.encode_plain, contents))
-        return await self._append(topic, body, timeout_s, None)
+        return await self._append(topic, body, timeout_s, None, era)
 
     async def _read(
         self, topic: str, start: int, wait_s: float, timeout_s: float
--- a/packages/platform/src/magnoliacrank/platform/store_instance_list.py
+++ b/packages/platform/src/magnoliacrank/platform/store_instance_list.py
@@ -37,6 +37,14 @@
 _LOG_INTERVAL_S = 10
 """Shortest time between two log lines about unreadable entries."""
 
+_OUTDATED = frozenset(
+    {
+        store_client.StoreFailureKind.EXPIRED,
+        store_client.StoreFailureKind.OTHER_ERA,
+    }
+)
+"""Failures after which all entries are read again."""
+
 _LISTED_STATES = {
     False: server.ListedState.LIVE,
     True: server.ListedState.LEAVING,
@@ -68,10 +76,21 @@
 
     async def fetch(self) -> instance.Announcements:
         """See `InstanceList.fetch`."""
-        instances, servers = await asyncio.gather(
+        instances, servers = await self._fetch_both()
+        if self._instances.era != self._servers.era:
+            instances, servers = await self._fetch_both()
+        if self._instances.era != self._servers.era:
+            raise instance_list.InstanceListUnavailableError("eras differ")
+        return instance.Announcements(instances, servers, self._servers.era)
+
+    async def _fetch_both(
+        self,
+    ) -> tuple[
+        tuple[instance.Announcement, ...], tuple[server.BackendServer, ...]
+    ]:
+        return await asyncio.gather(
             self._instances.fetch(), self._servers.fetch()
         )
-        return instance.Announcements(instances, servers)
 
     async def announce(self, entry: instance.EntryInstance) -> None:
         """See `InstanceList.announce`."""
@@ -93,7 +112,8 @@
     """Local copy of a topic with keys: the newest entry of each key.
 
     After the first fetch, only new records are read and decoded, unless the
-    store no longer retains some of them; then all entries are read again.
+    store no longer retains some of them or came back from an older copy; then
+    all entries are read again.
 
     Args:
         store: Client of the store.
@@ -116,6 +136,12 @@
         self._decode = decode
         self._entries: dict[str, _Entry] = {}
         self._next_offset: int | None = None
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Era of the store in which the entries were read."""
+        return self._era
 
     async def fetch(self) -> tuple[_Entry, ...]:
         """Updates the copy and returns its entries, sorted by key.
@@ -130,12 +156,20 @@
         return tuple(self._entries[key] for key in sorted(self._entries))
 
     async def _read_changes(self, offset: int) -> bool:
-        """Applies the records from an offset on; False if they have expired."""
+        """Applies the records from an offset on.
+
+        Returns:
+            False if they have expired, or the offset is of an older era.
+        """
+        if self._era < (self._store.era or 0):
+            return False
         page = await self._store.read(self._topic, offset, 0.0, self._timeout_s)
         if isinstance(page, store_client.StoreFailure):
-            if page.kind is store_client.StoreFailureKind.EXPIRED:
+            if page.kind in _OUTDATED:
                 return False
             raise instance_list.InstanceListUnavailableError(page.detail)
+        if page.era != self._era:
+            return False
         for record in page.records:
             self._apply(record)
         self._next_offset = page.next_offset
@@ -145,6 +179,13 @@
         newest = await self._store.newest(self._topic, self._timeout_s)
         if isinstance(newest, store_client.StoreFailure):
             raise instance_list.InstanceListUnavailableError(newest.detail)
+        if self._era and newest.era > self._era:
+            logging.warning(
+                "list: The store came back from an older copy of %s (era %d).",
+                self._topic,
+                newest.era,
+            )
+        self._era = newest.era
         self._entries.clear()
         for record in newest.records:
             self._apply(record)
@@ -168,7 +209,9 @@
     except wire_values.MALFORMED_ERRORS as error:
         _log_unreadable(record.key, error)
         return None
-    return instance.Announcement(entry, ids.LogOffset(record.offset))
+    return instance.Announcement(
+        entry, ids.LogOffset(record.offset), record.era
+    )
 
 
 def _decode_server(
--- a/packages/platform/tests/test_store_log.py
+++ b/packages/platform/tests/test_store_log.py
@@ -125,7 +125,7 @@
         leaving = entry(state=server.ListedState.LEAVING)
         await listed.announce(leaving)
         found = await listed.fetch()
-        assert found.instances == (instance.Announcement(leaving, 1),)
+        assert found.instances == (instance.Announcement(leaving, 1, 1),)
         await listed.withdraw(leaving.instance_id)
         assert (await listed.fetch()).instances == ()
 
--- a/packages/policy/src/magnoliacrank/policy/instance_leases.py
+++ b/packages/policy/src/magnoliacrank/policy/instance_leases.py
@@ -28,7 +28,7 @@
 
 @attrs.frozen
 class _Renewal:
-    offset: ids.LogOffset
+    position: tuple[int, ids.LogOffset]
     seen_s: float
 
 
@@ -67,6 +67,7 @@
         self, one: instance.Announcement, now_s: float
     ) -> _Renewal:
         known = self._renewals.get(one.entry.instance_id)
-        if known is not None and known.offset >= one.renewal_offset:
+        position = (one.era, one.renewal_offset)
+        if known is not None and known.position >= position:
             return known
-        return _Renewal(one.renewal_offset, now_s)
+        return _Renewal(position, now_s)
--- a/packages/state/src/magnoliacrank/state/log_follower.py
+++ b/packages/state/src/magnoliacrank/state/log_follower.py
@@ -246,11 +246,19 @@
     def _on_log_unavailable(
         self, error: log_service.LogUnavailableError
     ) -> None:
+        is_rewound = isinstance(error, log_service.LogRewoundError)
         logging.log_every_n_seconds(
-            logging.WARNING, "state: The log is unavailable: %s", 10, error
+            logging.ERROR if is_rewound else logging.WARNING,
+            "state: The log is unavailable: %s",
+            10,
+            error,
         )
         if not self._readiness.is_ready:
-            self._set_readiness(readiness_lib.Reason.LOG_UNAVAILABLE)
+            self._set_readiness(
+                readiness_lib.Reason.LOG_REWOUND
+                if is_rewound
+                else readiness_lib.Reason.LOG_UNAVAILABLE
+            )
 
     def _on_page(self, page: log_service.LogPage) -> bool:
         """Processes one page of the log.
