--- a/packages/entry/tests/test_store_era.py
+++ b/packages/entry/tests/test_store_era.py
@@ -271,3 +271,20 @@
     assert instance._view.plan.version == 7
     status, _, _ = await site.request()
     assert status == 200
+
+
+async def test_peer_of_an_older_era_verifies_nothing(site):
+    """Its offsets are higher, and say nothing about the new era."""
+    await site.add_backend("s1")
+    copy = _copy_and_fill(site)
+    instance = await site.add_instance()
+    await site.ready()
+    beat = instance.next_heartbeat()
+    await _rewind(site, copy)
+    await instance._reader.close()
+    before_s = instance._reader.verified_s
+    beat.verified_age_ms = 0
+    instance._reader.on_heartbeat(beat.fact, beat)
+    assert instance._reader.verified_s == before_s
+    assert instance._reader.is_fresh()
+    assert instance._view.era == 2
