Spread the requests of a trial over routes, not only by traffic

Fewer failures needed for a finding was ruled out: a good version meets two or three by chance. The bound on all requests is as before. The budget moved out of VersionTrial to TrialBudget.

--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -75,7 +75,7 @@
             entry.version == trial.order.target_version
         )
         if trial is not None and is_new:
-            trial.on_sent()
+            trial.on_sent(job.rule.name)
         choice = _describe_choice(backend, sent_s)
         span = job.trace.begin(request_trace.Hop.DISPATCH, choice)
         outcome: ExchangeResult
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -193,7 +193,7 @@
         now_s = self._clock()
         crew = len(self._state.roster.all_crews(now_s))
         self._load_test = trial.load_test(now_s)
-        return trial.wants_request(now_s, crew)
+        return trial.wants_request(now_s, crew, self._job.rule.name)
 
     async def _place(
         self,
--- a/packages/policy/src/magnoliacrank/policy/version_trial.py
+++ b/packages/policy/src/magnoliacrank/policy/version_trial.py
@@ -21,25 +21,14 @@
 import attrs
 import xxhash
 
+from magnoliacrank.policy import trial_budget
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
 
     from magnoliacrank.model import orders
 
-_SPREAD_SHARE = 0.4
-"""Part of the operators' exposure share that a trial uses for requests that
-are spread over its duration."""
-
-_SPREAD_SLACK_SHARE = 0.35
-"""Part of the operators' exposure slack that these requests may use."""
-
-_LOAD_TEST_SHARE = 0.15
-"""Part of the operators' exposure share that a trial uses for load tests."""
-
-_LOAD_TEST_SLACK_SHARE = 0.4
-"""Part of the operators' exposure slack that load tests may use."""
-
 _LOAD_TESTS = (0.4, 0.55, 0.7)
 """Starts of the load tests, as parts of the rollout's duration."""
 
@@ -301,16 +290,13 @@
         self._order = order
         self._order_offset = order_offset
         self._started_s = started_s
-        self._spread_share = exposure_share * _SPREAD_SHARE
-        self._spread_slack = exposure_slack * _SPREAD_SLACK_SHARE
-        self._load_test_share = exposure_share * _LOAD_TEST_SHARE
-        self._load_test_slack = exposure_slack * _LOAD_TEST_SLACK_SHARE
+        self._budget = trial_budget.TrialBudget(
+            exposure_share, exposure_slack, len(_LOAD_TESTS)
+        )
         self._own_evidence: dict[str, EvidencePair] = {}
         self._own_load_evidence = [Evidence() for _ in range(TAKEOVER + 1)]
         self._peer_evidence: dict[str, dict[str, EvidencePair]] = {}
         self._peer_load_evidence: dict[str, Sequence[Evidence]] = {}
-        self._requests = 0
-        self._sent_requests = {False: 0, True: 0}
         self._is_testing_load = False
         self._is_faulty = False
         self._findings: _Findings | None = None
@@ -413,54 +399,39 @@
             f"{self._order_offset}\n{number}\n{server_id}".encode()
         )
 
-    def wants_request(self, now_s: float, instances: int) -> bool:
+    def wants_request(self, now_s: float, instances: int, route: str) -> bool:
         """Counts a request and returns whether the new version should get it.
 
         Args:
             now_s: Current monotonic time in seconds.
             instances: Number of instances among which the slack is divided.
+            route: Name of the request's route.
         """
-        self._requests += 1
+        self._budget.on_request(route)
         phase = self.phase(now_s)
         if phase is not TrialPhase.TRYING:
             return phase is not TrialPhase.FAULTY
         test = self._scheduled_load_test(now_s)
         self._is_testing_load = test is not None
+        part = self._elapsed_part(now_s)
         if test is None:
-            budget = self._spread_budget(now_s, instances)
-        else:
-            budget = self._load_test_budget(test, now_s, instances)
-        return self._sent_requests[self._is_testing_load] + 1 <= budget
-
-    def _spread_budget(self, now_s: float, instances: int) -> float:
-        """Returns the requests that this instance may have spread so far."""
-        slack = self._spread_slack * self._elapsed_part(now_s)
-        return self._spread_share * self._requests + slack / max(instances, 1)
-
-    def _load_test_budget(
-        self, number: int, now_s: float, instances: int
-    ) -> float:
-        """Returns the requests that this instance may send up to a load test.
-
-        Each test has an equal part of the requests that are expected in the
-        whole rollout at the rate so far.
-        """
-        expected = self._requests / max(self._elapsed_part(now_s), 0.1)
-        slack = self._load_test_slack / max(instances, 1)
-        part = (number + 1) / len(_LOAD_TESTS)
-        return part * (self._load_test_share * expected + slack)
+            return self._budget.allows_spread(route, part, instances)
+        return self._budget.allows_load_test(test, part, instances)
 
     def _elapsed_part(self, now_s: float) -> float:
         """Returns the elapsed part of the rollout's duration, at most 1."""
         elapsed_s = now_s - self._started_s
         return min(elapsed_s / max(self._order.duration_s, 0.1), 1.0)
 
-    def on_sent(self) -> None:
+    def on_sent(self, route: str) -> None:
         """Counts a request that is sent to the new version.
 
         It counts as part of a load test if one is in progress.
+
+        Args:
+            route: Name of the request's route.
         """
-        self._sent_requests[self._is_testing_load] += 1
+        self._budget.on_sent(route, is_load_test=self._is_testing_load)
 
     def on_answer(
         self, route: str, *, is_new: bool, failed: bool, duration_s: float
--- a/packages/policy/tests/test_entry_decisions.py
+++ b/packages/policy/tests/test_entry_decisions.py
@@ -339,11 +339,11 @@
     used = []
     for step in range(int(until_s * rate_per_s)):
         now_s = step / rate_per_s
-        is_new = trial.wants_request(now_s, 1)
+        route = f"r{step % 3}"
+        is_new = trial.wants_request(now_s, 1, route)
         if is_new:
-            trial.on_sent()
+            trial.on_sent(route)
             used.append(now_s)
-        route = f"r{step % 3}"
         failed = is_new and fails(now_s, route, step)
         duration_s = 0.1 * (slow if is_new else 1.0)
         trial.on_answer(
@@ -436,7 +436,7 @@
         version_trial.Evidence(20, 0, 2.0), version_trial.Evidence(8, 6, 0.2)
     )
     trial.merge("peer/1", {"r": pair}, [])
-    assert not trial.wants_request(1.0, 2)
+    assert not trial.wants_request(1.0, 2, "r")
     assert trial.phase(1.0) is version_trial.TrialPhase.FAULTY
 
 
--- a/packages/policy/tests/test_version_trial.py
+++ b/packages/policy/tests/test_version_trial.py
@@ -155,10 +155,10 @@
         self._result.arrived += 1
         number = rng.randrange(site.instances)
         route = rng.choices(range(len(site.routes)), site.routes)[0]
-        version, server, test = self._choose(now_s, number)
+        version, server, test = self._choose(now_s, number, f"r{route}")
         if version == "v2":
             self._result.exposed += 1
-            self._trials[number].on_sent()
+            self._trials[number].on_sent(f"r{route}")
         if server is None:
             return
         self._running[version, server] += 1
@@ -187,13 +187,13 @@
         is_busy = version_trial.is_busy(busy, self._site.slots)
         return test if is_busy else None
 
-    def _choose(self, now_s, number):
+    def _choose(self, now_s, number, route):
         trial = self._trials[number]
         if self._switch_s is not None and now_s >= self._switch_s:
             is_new = self._result.state == "completed"
             return ("v2" if is_new else "v1"), self._idlest(is_new), None
         test = trial.load_test(now_s)
-        if not trial.wants_request(now_s, self._site.instances):
+        if not trial.wants_request(now_s, self._site.instances, route):
             return "v1", self._idlest(is_new=False), None
         if test is None or test == version_trial.TAKEOVER:
             return "v2", self._idlest(is_new=True), test
