Believe a newer era of the store by records only, not by a heartbeat

One datagram with a wrong era would have turned an instance away from the store until its restart. It now makes the instance ask; the next complete read ends that, as it does for wrong offsets.

--- a/packages/entry/src/magnoliacrank/entry/site_reader.py
+++ b/packages/entry/src/magnoliacrank/entry/site_reader.py
@@ -179,7 +179,6 @@
             verified_s=now_s - beat.verified_age_ms / 1000,
             era=beat.store_era,
         )
-        self._store_reads.note_peer_era(sender.node, beat.store_era)
         self._view.on_store_answer(marks.verified_s)
         self._sources.on_offsets(marks, self._seen, now_s, self._view.era)
         self._verify_from_peer(marks)
--- a/packages/entry/tests/test_store_era.py
+++ b/packages/entry/tests/test_store_era.py
@@ -290,3 +290,16 @@
     assert instance._reader.verified_s == before_s
     assert instance._reader.is_fresh()
     assert instance._view.era == 2
+
+
+async def test_wrong_era_in_a_heartbeat_does_not_turn_away_from_the_store(site):
+    await site.add_backend("s1")
+    instance = await site.add_instance()
+    await site.ready()
+    beat = instance.next_heartbeat()
+    beat.store_era = 99
+    instance._reader.on_heartbeat(beat.fact, beat)
+    assert not instance._reader.is_fresh()
+    await site.until(instance._reader.is_fresh)
+    site.store.put("keyed.op", "evacuate/b", b"{}")
+    await site.until(lambda: instance._view.evacuated == {"b"})
