Bound what is held for slow callers and servers

Found by reading what each transfer keeps in memory: - bodies without a length were not counted toward the memory for bodies; - a body had no deadline while it was read, was copied into one buffer with its head and then into the transport's, and was kept while its answer was read; - unread answers of up to 64 KiB per connection were counted nowhere; - a closed connection with unread bytes stayed until the caller left; - the bytes in flight to one server had no bound.

transfer_budget replaces answer_memory and counts both sides. Ruled out: dropping the oldest unread answer (its request has run), and streaming answers (a slow caller would make its server wait).

--- a/packages/entry/src/magnoliacrank/entry/backend_link.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_link.py
@@ -11,11 +11,12 @@
 from multidict import CIMultiDictProxy
 
 from magnoliacrank.gateway import answer as answers
-from magnoliacrank.gateway import answer_memory
+from magnoliacrank.gateway import body_sender
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import outbound_head
 from magnoliacrank.gateway import server_connection
 from magnoliacrank.platform import request_wire
+from magnoliacrank.policy import transfer_budget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,6 +38,10 @@
 _IDLE_MARGIN_S = 1.0
 """Margin subtracted from the idle timeout in a server's Keep-Alive header."""
 
+_BODY_PART_BYTES = 65536
+"""Body bytes that are written at a time. A longer body is written at the pace
+of the server, so that it isn't in memory a second time."""
+
 _MAX_ANSWER_BYTES = 64 << 20
 """Limit on the bytes of answers being read by a link that shares no limit with
 other links."""
@@ -75,6 +80,29 @@
     connection that carried a refusal, which a faulty server could repeat."""
 
 
+class _WholeBody:
+    """Source that yields a body, which is in memory, in parts.
+
+    Args:
+        content: The body.
+    """
+
+    def __init__(self, content: bytes) -> None:
+        self._content = content
+        self._read_bytes = 0
+
+    @property
+    def body_length(self) -> int:
+        """Length of the body in bytes."""
+        return len(self._content)
+
+    async def read_chunk(self) -> bytes:
+        """Returns the next bytes of the body, empty at the end."""
+        start = self._read_bytes
+        self._read_bytes = start + _BODY_PART_BYTES
+        return self._content[start : self._read_bytes]
+
+
 class BackendLink:
     """Connection pool for one server, without pipelining.
 
@@ -93,12 +121,14 @@
         host: str,
         port: int,
         on_opened: Callable[[], None] = lambda: None,
-        memory: answer_memory.AnswerMemory | None = None,
+        memory: transfer_budget.TransferBudget | None = None,
     ) -> None:
         self._host = host
         self._port = port
         self._on_opened = on_opened
-        self._memory = memory or answer_memory.AnswerMemory(_MAX_ANSWER_BYTES)
+        self._memory = memory or transfer_budget.TransferBudget(
+            _MAX_ANSWER_BYTES
+        )
         self._idle: list[server_connection.ServerConnection] = []
         self._busy: set[server_connection.ServerConnection] = set()
         self._idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
@@ -193,12 +223,21 @@
                 headers.get(request_wire.REQUEST_ID, expected_id) == expected_id
             )
 
-        head = await connection.send(
-            request.head.encode(len(request.body)) + request.body,
+        body = request.body
+        is_short = len(body) <= _BODY_PART_BYTES
+        first = request.head.encode(len(body))
+        pending = connection.send(
+            first + body if is_short else first,
             is_head_request=request.head.method == hdrs.METH_HEAD,
             deadline_s=deadline_s,
             accepts_answer=accepts_answer,
         )
+        if is_short:
+            head = await pending
+        else:
+            head = await body_sender.send_while_waiting(
+                connection, _WholeBody(body), pending
+            )
         if isinstance(head, ExchangeFailure):
             return head
         answer = answers.Answer(connection, head)
--- a/packages/entry/src/magnoliacrank/entry/backend_table.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_table.py
@@ -19,7 +19,7 @@
     from collections.abc import Mapping
 
     from magnoliacrank.entry import event_log
-    from magnoliacrank.gateway import answer_memory
+    from magnoliacrank.policy import transfer_budget
 
 PROBE_TIMEOUT_S = 0.25
 """Timeout of a health request; a server that exceeds it counts as silent."""
@@ -73,6 +73,9 @@
     in_flight: int = 0
     """Requests that this instance has sent and that have not ended."""
 
+    in_flight_bytes: int = 0
+    """Size of the bodies of these requests."""
+
     dispatch_times_s: list[float] = attrs.field(factory=list)
     """Times of the dispatches since the newest report was requested."""
 
@@ -83,9 +86,15 @@
             at_s >= self.report_requested_s for at_s in self.dispatch_times_s
         )
 
-    def on_dispatch(self, now_s: float) -> None:
-        """Counts a request that is sent to this server."""
+    def on_dispatch(self, now_s: float, body_bytes: int = 0) -> None:
+        """Counts a request that is sent to this server.
+
+        Args:
+            now_s: Clock time in seconds.
+            body_bytes: Size of the request's body.
+        """
         self.in_flight += 1
+        self.in_flight_bytes += body_bytes
         self.dispatch_times_s.append(now_s)
         del self.dispatch_times_s[:-_MAX_DISPATCH_TIMES]
 
@@ -179,7 +188,7 @@
         log: event_log.EventLog,
         clock: Callable[[], float],
         probes_per_s: Callable[[], float],
-        memory: answer_memory.AnswerMemory,
+        memory: transfer_budget.TransferBudget,
     ) -> None:
         self._log = log
         self._clock = clock
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -12,6 +12,7 @@
 
 from magnoliacrank.entry import dispatch as dispatches
 from magnoliacrank.entry import job as jobs
+from magnoliacrank.entry import refusal as refusals
 from magnoliacrank.entry import request_carrier
 from magnoliacrank.entry import request_trace
 from magnoliacrank.gateway import body as bodies
@@ -19,20 +20,16 @@
 from magnoliacrank.model import route_plan
 from magnoliacrank.platform import request_wire
 from magnoliacrank.policy import caller_access
+from magnoliacrank.policy import transfer_budget
 
 if TYPE_CHECKING:
     from magnoliacrank.entry import entry_state
     from magnoliacrank.entry import site_reader
     from magnoliacrank.entry import site_view
-    from magnoliacrank.gateway import answer_memory
     from magnoliacrank.gateway import inbound_exchange
 
 Verdict = dispatches.Verdict
 
-_UNAVAILABLE_RETRY_AFTER_S = 0.5
-"""Retry delay stated to callers while the configuration is not known or the
-memory for bodies is used up."""
-
 _CRASH_RETRY_AFTER_S = 5.0
 """Retry delay stated to the caller of a request that crashes servers."""
 
@@ -41,8 +38,6 @@
 or API key triggers a read; half of the time within which a new configuration
 must be in force."""
 
-_UNAUTHORIZED = 401
-
 _MIN_REMAINING_S = 0.001
 """Least time to the deadline for which a request is still forwarded."""
 
@@ -51,14 +46,9 @@
 )
 
 
-@attrs.frozen
-class _Refusal:
-    """An error answer that this instance generates itself."""
-
-    status: int
-    reason: str
-    retry_after_s: float | None = None
-
+_UNREAD_GRACE_S = 0.5
+"""Time after the deadline of a caller for which its answer is still kept if it
+hasn't read all of it."""
 
 _Admission = tuple[route_plan.RouteRule, caller_access.Grant]
 """Route of a request and the permission to use it."""
@@ -85,14 +75,13 @@
         view: site_view.SiteView,
         reader: site_reader.SiteReader,
         body_memory_bytes: int,
-        answers: answer_memory.AnswerMemory,
+        answers: transfer_budget.TransferBudget,
     ) -> None:
         self._state = state
         self._view = view
         self._reader = reader
-        self._body_memory_bytes = body_memory_bytes
+        self._bodies = transfer_budget.TransferBudget(body_memory_bytes)
         self._answers = answers
-        self._body_bytes = 0
 
     async def on_request(
         self, exchange: inbound_exchange.InboundExchange
@@ -102,26 +91,43 @@
         trace = request_trace.RequestTrace(arrived_s, self._state.clock)
         await self._reader.refresh_for_request()
         found = await self._admit(exchange)
-        if isinstance(found, _Refusal):
+        if isinstance(found, refusals.Refusal):
             await self._refuse(exchange, found, None, trace)
             return
         rule, grant = found
-        size = exchange.body_length or 0
-        if self._body_bytes + size > self._body_memory_bytes:
-            refusal = _Refusal(503, "body-memory", _UNAVAILABLE_RETRY_AFTER_S)
-            await self._refuse(exchange, refusal, rule, trace)
-            return
-        self._body_bytes += size
+        reservation = transfer_budget.Reservation(self._bodies)
         try:
-            await self._serve(exchange, rule, grant, trace, size)
+            refusal = self._reserve(exchange, rule, reservation)
+            if refusal is None:
+                await self._serve(exchange, rule, grant, trace, reservation)
+            else:
+                await self._refuse(exchange, refusal, rule, trace)
         finally:
-            self._body_bytes -= size
+            reservation.release()
+
+    def _reserve(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        rule: route_plan.RouteRule,
+        reservation: transfer_budget.Reservation,
+    ) -> refusals.Refusal | None:
+        """Reserves memory for a request and its answer, or refuses it."""
+        expected_bytes = self._state.expected_answer_bytes(rule)
+        if not self._answers.accepts_request(expected_bytes):
+            return refusals.Refusal(
+                503, "answer-memory", refusals.UNAVAILABLE_RETRY_AFTER_S
+            )
+        if not reservation.try_grow(exchange.body_length or 0):
+            return refusals.Refusal(
+                503, "body-memory", refusals.UNAVAILABLE_RETRY_AFTER_S
+            )
+        return None
 
     async def _admit(
         self, exchange: inbound_exchange.InboundExchange
-    ) -> _Admission | _Refusal:
+    ) -> _Admission | refusals.Refusal:
         found = self._look_up(exchange)
-        if isinstance(found, _Refusal):
+        if isinstance(found, refusals.Refusal):
             # The route or the API key may have been added since the last read.
             await self._reader.refresh(_UNKNOWN_MAX_AGE_S)
             found = self._look_up(exchange)
@@ -129,18 +135,20 @@
 
     def _look_up(
         self, exchange: inbound_exchange.InboundExchange
-    ) -> _Admission | _Refusal:
+    ) -> _Admission | refusals.Refusal:
         plan = self._view.plan
         if plan is None:
-            return _Refusal(503, "no-configuration", _UNAVAILABLE_RETRY_AFTER_S)
+            return refusals.Refusal(
+                503, "no-configuration", refusals.UNAVAILABLE_RETRY_AFTER_S
+            )
         host = exchange.headers.get(hdrs.HOST, "").partition(":")[0].lower()
         rule = plan.find_route(host, exchange.path)
         if rule is None:
-            return _Refusal(404, "no-route")
+            return refusals.Refusal(404, "no-route")
         key = request_wire.read_api_key(exchange.headers)
         access = caller_access.decide(plan, rule, key)
         if isinstance(access, caller_access.Denial):
-            return _Refusal(_UNAUTHORIZED, access.value)
+            return refusals.Refusal(refusals.UNAUTHORIZED, access.value)
         return rule, access
 
     async def _serve(
@@ -149,17 +157,11 @@
         rule: route_plan.RouteRule,
         grant: caller_access.Grant,
         trace: request_trace.RequestTrace,
-        stated_bytes: int,
+        reservation: transfer_budget.Reservation,
     ) -> None:
-        plan = self._view.plan
-        assert plan is not None, "a route was found"
-        available_bytes = (
-            self._body_memory_bytes - self._body_bytes + stated_bytes
-        )
-        limit = min(plan.limits.max_body_bytes, available_bytes)
         reading = trace.begin(request_trace.Hop.READ)
-        body = await exchange.read_body(limit)
-        refusal = _check_body(body, is_short_of_memory=limit == available_bytes)
+        body = await self._read_body(exchange, rule, trace, reservation)
+        refusal = refusals.of_body(body)
         trace.end(reading, "whole" if refusal is None else refusal.reason)
         if refusal is not None:
             await self._refuse(exchange, refusal, rule, trace)
@@ -168,16 +170,49 @@
         job = self._prepare(exchange, rule, grant, body, trace)
         now_s = self._state.clock()
         if job.deadline_s - now_s < _MIN_REMAINING_S:
-            refusal = _Refusal(503, "deadline-passed", 0.0)
+            refusal = refusals.Refusal(503, "deadline-passed", 0.0)
         elif self._state.crashes.is_blocked(job.fingerprint, now_s):
-            refusal = _Refusal(503, "crashes-servers", _CRASH_RETRY_AFTER_S)
+            refusal = refusals.Refusal(
+                503, "crashes-servers", _CRASH_RETRY_AFTER_S
+            )
         if refusal is not None:
             await self._refuse(exchange, refusal, rule, trace)
             return
         carrier = request_carrier.RequestCarrier(self._state, job)
         result = await self._carry(exchange, carrier, job)
-        if result is not None:
-            await self._answer(exchange, carrier, job, result)
+        if result is None:
+            return
+        # While a slow caller reads its answer, only that is in memory.
+        is_denied = carrier.is_denied
+        del carrier, body
+        job = attrs.evolve(job, body=b"")
+        reservation.release()
+        await self._answer(exchange, job, result, is_denied=is_denied)
+
+    async def _read_body(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        rule: route_plan.RouteRule,
+        trace: request_trace.RequestTrace,
+        reservation: transfer_budget.Reservation,
+    ) -> bytes | bodies.BodyTooLarge | bodies.BodyFailure:
+        """Reads a body until the deadline; a slower one holds no memory."""
+        plan = self._view.plan
+        assert plan is not None, "a route was found"
+        limit = plan.limits.max_body_bytes
+        if exchange.is_body_whole:
+            return await exchange.read_body(limit, reservation.try_grow)
+        stated_s = request_wire.read_deadline_s(exchange.headers)
+        timeout_s = rule.timeout_s
+        if stated_s is not None:
+            timeout_s = min(stated_s, timeout_s)
+        try:
+            async with asyncio.timeout(
+                trace.arrived_s + timeout_s - self._state.clock()
+            ):
+                return await exchange.read_body(limit, reservation.try_grow)
+        except TimeoutError:
+            return bodies.TOO_SLOW
 
     def _prepare(
         self,
@@ -254,14 +289,15 @@
     async def _answer(
         self,
         exchange: inbound_exchange.InboundExchange,
-        carrier: request_carrier.RequestCarrier,
         job: jobs.Job,
         result: request_carrier.RequestResult,
+        *,
+        is_denied: bool,
     ) -> None:
         answer = result.answer
         if answer is None:
-            refusal = _to_refusal(
-                result, job, self._state.clock(), is_denied=carrier.is_denied
+            refusal = refusals.of_result(
+                result, job, self._state.clock(), is_denied=is_denied
             )
             await self._refuse(exchange, refusal, job.rule, job.trace)
             return
@@ -277,11 +313,31 @@
         exchange.start_answer(answer.status, fields, length)
         self._answers.hold(length)
         try:
-            await exchange.write(answer.content)
-            await exchange.finish()
+            async with asyncio.timeout(self._reading_time_s(exchange, job)):
+                await exchange.write(answer.content)
+                await exchange.finish()
+        except TimeoutError:
+            exchange.abort()
+            self._state.log.request(
+                "answer unread", job.request_id, route=job.rule.name
+            )
         finally:
             self._answers.release(length)
 
+    def _reading_time_s(
+        self, exchange: inbound_exchange.InboundExchange, job: jobs.Job
+    ) -> float | None:
+        """Returns how long the caller may take to read its answer, in seconds.
+
+        None if the caller states no deadline; then only the write timeout of
+        its connection holds.
+        """
+        stated_s = request_wire.read_deadline_s(exchange.headers)
+        if stated_s is None:
+            return None
+        left_s = job.arrived_s + stated_s - self._state.clock()
+        return max(left_s, 0.0) + _UNREAD_GRACE_S
+
     def _log_answer(
         self, job: jobs.Job, status: int, duration_s: float
     ) -> None:
@@ -301,7 +357,7 @@
     async def _refuse(
         self,
         exchange: inbound_exchange.InboundExchange,
-        refusal: _Refusal,
+        refusal: refusals.Refusal,
         rule: route_plan.RouteRule | None,
         trace: request_trace.RequestTrace,
     ) -> None:
@@ -323,40 +379,10 @@
             spans=trace.fields,
         )
         fields = [("Content-Type", "application/json")]
-        if refusal.status == _UNAUTHORIZED:
+        if refusal.status == refusals.UNAUTHORIZED:
             fields.append(request_wire.CHALLENGE)
         if refusal.retry_after_s is not None:
             value = f"{refusal.retry_after_s:.3f}"
             fields.append((request_wire.RETRY_AFTER, value))
         content = msgspec.json.encode({"reason": refusal.reason})
         await exchange.answer(refusal.status, fields, content)
-
-
-def _check_body(
-    body: bytes | bodies.BodyTooLarge | bodies.BodyFailure,
-    *,
-    is_short_of_memory: bool,
-) -> _Refusal | None:
-    if isinstance(body, bodies.BodyTooLarge):
-        if is_short_of_memory:
-            return _Refusal(503, "body-memory", _UNAVAILABLE_RETRY_AFTER_S)
-        return _Refusal(413, "body-too-large")
-    if isinstance(body, bodies.BodyFailure):
-        return _Refusal(body.status, body.kind.value)
-    return None
-
-
-def _to_refusal(
-    result: request_carrier.RequestResult,
-    job: jobs.Job,
-    now_s: float,
-    *,
-    is_denied: bool,
-) -> _Refusal:
-    if result.verdict is Verdict.NOT_RUN:
-        if is_denied:
-            return _Refusal(_UNAUTHORIZED, result.reason)
-        return _Refusal(503, result.reason, result.retry_after_s)
-    # The request may have run, so the status must not promise that it didn't.
-    status = 504 if now_s >= job.deadline_s else 502
-    return _Refusal(status, result.reason)
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -25,7 +25,6 @@
 from magnoliacrank.entry import service_handlers
 from magnoliacrank.entry import site_reader
 from magnoliacrank.entry import site_view
-from magnoliacrank.gateway import answer_memory
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
@@ -34,6 +33,7 @@
 from magnoliacrank.policy import peer_status
 from magnoliacrank.policy import record_sources
 from magnoliacrank.policy import site_mesh
+from magnoliacrank.policy import transfer_budget
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -57,7 +57,7 @@
 
 _BODY_MEMORY_SHARE = 0.2
 """Share of the process's memory for request bodies. Each body is in memory up
-to three times: as read, as encoded for a server, and in the socket's buffer."""
+to twice: in chunks and joined."""
 
 _ANSWER_MEMORY_SHARE = 0.1
 """Share of the process's memory for answers. Each answer is in memory up to
@@ -124,7 +124,7 @@
             self.log,
             clock,
         )
-        answers = answer_memory.AnswerMemory(
+        answers = transfer_budget.TransferBudget(
             int(settings.memory_mb * 1e6 * _ANSWER_MEMORY_SHARE)
         )
         self._table = backend_table.BackendTable(
--- a/packages/entry/src/magnoliacrank/entry/placement_request.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -68,6 +68,9 @@
     """Clock time in seconds up to which an answer meets the latency
     objective."""
 
+    body_bytes: int = 0
+    """Size of its body."""
+
     server_order: Callable[[str], int] | None = None
     """Sort key of server ids; if set, only the first server that is in good
     health may get the request."""
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -11,6 +11,7 @@
 from magnoliacrank.entry import wait_queue
 from magnoliacrank.policy import crowding
 from magnoliacrank.policy import placement
+from magnoliacrank.policy import transfer_budget
 from magnoliacrank.policy import wait_policy
 
 if TYPE_CHECKING:
@@ -141,9 +142,17 @@
         finally:
             queue.release_turn()
 
-    def on_finished(self, backend: backend_table.Backend) -> None:
-        """Counts a request at a server as ended and wakes waiting requests."""
+    def on_finished(
+        self, backend: backend_table.Backend, body_bytes: int = 0
+    ) -> None:
+        """Counts a request at a server as ended and wakes waiting requests.
+
+        Args:
+            backend: The server.
+            body_bytes: Size of the request's body.
+        """
         backend.in_flight -= 1
+        backend.in_flight_bytes -= body_bytes
         queue = self._queues.get(backend.entry.service)
         if queue is not None:
             queue.on_slot_freed()
@@ -167,7 +176,7 @@
         backend: backend_table.Backend,
     ) -> backend_table.Backend:
         now_s = self._clock()
-        backend.on_dispatch(now_s)
+        backend.on_dispatch(now_s, request.body_bytes)
         self._wait_policy(request.service).on_dispatch(now_s)
         return backend
 
@@ -203,13 +212,13 @@
         health_path = "/health" if service is None else service.health_path
         candidates = self._candidates(request)
         if request.service in self._without_load_reports:
-            return self._find_by_in_flight(candidates)
+            return self._find_by_in_flight(request, candidates)
         rounds = placement.probe_rounds(
             candidates, self._is_remote, _PROBES_PER_ROUND, _MAX_PROBE_ROUNDS
         )
         for probed in rounds:
             good = await self._probe_round(request, probed, health_path)
-            if good is not None and self._try_confirm(good):
+            if good is not None and self._try_confirm(request, good):
                 return good
         usable = [
             (rating.order, index, backend)
@@ -219,12 +228,14 @@
             and self._is_acceptable(request, rating)
         ]
         for _, _, backend in sorted(usable):
-            if self._try_confirm(backend):
+            if self._try_confirm(request, backend):
                 return backend
         return None
 
     def _find_by_in_flight(
-        self, candidates: list[backend_table.Backend]
+        self,
+        request: placement_requests.PlacementRequest,
+        candidates: list[backend_table.Backend],
     ) -> backend_table.Backend | None:
         """Chooses by in-flight requests among servers that report no load.
 
@@ -247,7 +258,7 @@
             for index, backend in enumerate(free)
         ]
         for *_, index in sorted(keyed):
-            if self._try_confirm(free[index]):
+            if self._try_confirm(request, free[index]):
                 return free[index]
         return None
 
@@ -457,13 +468,21 @@
     def _is_remote(self, backend: backend_table.Backend) -> bool:
         return backend.entry.data_centre != self._data_centre
 
-    def _try_confirm(self, backend: backend_table.Backend) -> bool:
+    def _try_confirm(
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
+    ) -> bool:
         """Confirms a server for a request, and takes a token if it is cold.
 
-        Fails if the server may no longer get requests, or is cold and either
-        not owned by this instance or at its rate limit. Each of these may have
-        changed during the search.
+        Fails if the server may no longer get requests, has too many bytes of
+        bodies in flight, or is cold and either not owned by this instance or
+        at its rate limit. Each of these may have changed during the search.
         """
         if not self._view.is_usable(backend.entry):
             return False
+        if not transfer_budget.fits_server(
+            backend.in_flight_bytes, request.body_bytes
+        ):
+            return False
         return self._cold_gate.try_take(backend, self._clock())
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -266,6 +266,7 @@
             asked_s=job.asked_s,
             wait_deadline_s=wait_deadline_s,
             may_wait=may_wait,
+            body_bytes=len(job.body),
             transfer_bytes=len(job.body)
             + self._state.expected_answer_bytes(job.rule),
             excluded=frozenset(self._tried_server_ids),
@@ -290,7 +291,7 @@
             try:
                 return await self._send(backend)
             finally:
-                self._state.placer.on_finished(backend)
+                self._on_finished(backend)
         first = self._start_sending(backend)
         tasks = {first}
         hedge_s = job.rule.target_latency_s * _HEDGE_DELAY_SHARE
@@ -320,11 +321,12 @@
         first step runs none of its code, so a `finally` block would not run.
         """
         task = asyncio.get_running_loop().create_task(self._send(backend))
-        task.add_done_callback(
-            lambda _: self._state.placer.on_finished(backend)
-        )
+        task.add_done_callback(lambda _: self._on_finished(backend))
         return task
 
+    def _on_finished(self, backend: backend_table.Backend) -> None:
+        self._state.placer.on_finished(backend, len(self._job.body))
+
     async def _send(
         self, backend: backend_table.Backend
     ) -> dispatches.DispatchResult:
@@ -353,7 +355,7 @@
         if isinstance(found, placement_requests.Rejection):
             return None
         if not self._state.try_retry(self._job.service, Urgency.HEDGE):
-            self._state.placer.on_finished(found)
+            self._on_finished(found)
             return None
         return found
 
--- a/packages/entry/tests/test_endless_answers.py
+++ b/packages/entry/tests/test_endless_answers.py
@@ -6,9 +6,9 @@
 import pytest
 
 from magnoliacrank.entry import backend_link
-from magnoliacrank.gateway import answer_memory
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import outbound_head
+from magnoliacrank.policy import transfer_budget
 
 FailureKind = exchange_failure.FailureKind
 
@@ -113,7 +113,7 @@
 async def test_endless_answer_closes_the_connection(beginning, block):
     server = EndlessServer(beginning, block)
     port = await server.start()
-    memory = answer_memory.AnswerMemory(MEMORY_BYTES)
+    memory = transfer_budget.TransferBudget(MEMORY_BYTES)
     started_s = time.monotonic()
     found = await _exchange(port, memory=memory)
     assert isinstance(found, exchange_failure.ExchangeFailure)
@@ -142,7 +142,7 @@
     monkeypatch.setattr(backend_link, "_CONNECT_TIMEOUT_S", PATIENT_S)
     length = 10 << 20
     beginning = OK + f"Content-Length: {length}\r\n\r\n".encode()
-    memory = answer_memory.AnswerMemory(MEMORY_BYTES)
+    memory = transfer_budget.TransferBudget(MEMORY_BYTES)
     servers = [EndlessServer(beginning + b"x" * length, b"") for _ in range(5)]
     ports = [await server.start() for server in servers]
     found = await asyncio.gather(
--- a/packages/gateway/src/magnoliacrank/gateway/body.py
+++ b/packages/gateway/src/magnoliacrank/gateway/body.py
@@ -14,6 +14,7 @@
     CALLER_GONE = "caller-gone"
     MALFORMED = "malformed"
     TOO_SLOW = "too-slow"
+    NO_MEMORY = "body-memory"
 
 
 @attrs.frozen
@@ -45,6 +46,10 @@
 """The body arrived more slowly than the limits for callers allow."""
 
 
+NO_MEMORY = BodyFailure(BodyFailureKind.NO_MEMORY, 503)
+"""The memory for request bodies is used up."""
+
+
 class BodyFailureError(Exception):
     """Passes a failure through the stream of a body to its reader.
 
--- a/packages/gateway/src/magnoliacrank/gateway/caller_connection.py
+++ b/packages/gateway/src/magnoliacrank/gateway/caller_connection.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 from typing import Protocol
+from typing import cast
 
 from absl import logging
 from aiohttp import base_protocol
@@ -183,10 +184,19 @@
             self.transport.abort()
 
     def close(self) -> None:
-        """Closes the connection once all written bytes have been sent."""
+        """Closes the connection once all written bytes have been sent.
+
+        Aborts it if the caller doesn't read them within the linger timeout.
+        """
         self._enter_phase(Phase.CLOSED)
-        if self.transport is not None:
-            self.transport.close()
+        transport = self.transport
+        if transport is None:
+            return
+        transport.close()
+        if transport.get_write_buffer_size():
+            self._loop.call_later(
+                self._limits.linger_timeout_s, transport.abort
+            )
 
     async def wait_writable(self) -> None:
         """Waits while the transport's write buffer is over its limit."""
@@ -204,6 +214,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection; refuses it when there are too many."""
         super().connection_made(transport)
+        # An answer counts as written when no part of it is in memory. The
+        # transports of uvloop aren't subclasses of those of asyncio.
+        cast("asyncio.Transport", transport).set_write_buffer_limits(0)
         self._enter_phase(Phase.HEAD)
         if not self._owner.on_opened(self):
             self._refuse(503, _OVERLOADED)
--- a/packages/gateway/src/magnoliacrank/gateway/inbound_exchange.py
+++ b/packages/gateway/src/magnoliacrank/gateway/inbound_exchange.py
@@ -15,6 +15,8 @@
 from magnoliacrank.gateway import framing
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aiohttp import http_parser
     from multidict import CIMultiDictProxy
 
@@ -204,12 +206,17 @@
             return error.failure
 
     async def read_body(
-        self, limit: int
+        self,
+        limit: int,
+        try_take: Callable[[int], bool] = lambda _: True,
     ) -> bytes | body.BodyTooLarge | body.BodyFailure:
         """Returns the whole request body.
 
         Args:
             limit: Maximum size of the body in bytes.
+            try_take: Reserves memory for a number of further bytes; returns
+                whether there was enough. Called for each part of a body whose
+                length isn't stated.
 
         Returns:
             The body, or why it could not be read.
@@ -230,6 +237,8 @@
             size += len(chunk)
             if size > limit:
                 return body.BodyTooLarge(limit)
+            if length is None and not try_take(len(chunk)):
+                return body.NO_MEMORY
             chunks.append(chunk)
 
     def start_answer(
--- a/packages/gateway/tests/test_front_server.py
+++ b/packages/gateway/tests/test_front_server.py
@@ -452,3 +452,51 @@
         writer.close()
         await closing
         assert server.connection_count == 0
+
+
+async def test_closing_connection_is_aborted_if_its_caller_does_not_read():
+    """A connection that waits for a caller forever would hold its memory."""
+    limits = front_limits.FrontLimits(linger_timeout_s=0.2)
+    front = front_server.FrontServer(Echo(), limits)
+    await front.start("127.0.0.1", 0)
+    _, writer = await asyncio.open_connection("127.0.0.1", front.port)
+    await _until(lambda: front.connection_count == 1)
+    (connection,) = front._connections
+    connection.send(b"x" * (32 << 20))
+    connection.close()
+    await _until(lambda: front.connection_count == 0)
+    writer.close()
+    await front.close(0.1)
+
+
+class Flood:
+    """Answers with small parts without end."""
+
+    def __init__(self):
+        self.written = 0
+
+    async def on_request(self, exchange):
+        exchange.start_answer(200, [])
+        while not exchange.is_caller_gone:
+            await exchange.write(b"x" * 1024)
+            self.written += 1
+
+
+async def test_write_waits_until_the_whole_part_is_passed_on():
+    """Guards against unread bytes of many connections that nobody counts."""
+    flood = Flood()
+    front = front_server.FrontServer(flood, front_limits.FrontLimits())
+    await front.start("127.0.0.1", 0)
+    _, writer = await asyncio.open_connection(
+        "127.0.0.1", front.port, limit=1024
+    )
+    writer.write(_GET)
+    before = -1
+    while before != flood.written:
+        before = flood.written
+        await asyncio.sleep(0.1)
+    (connection,) = front._connections
+    assert flood.written > 0
+    assert 0 < connection.transport.get_write_buffer_size() < 2048
+    writer.close()
+    await front.close(0.1)
--- a/packages/standins/src/magnoliacrank/standins/platform_backend.py
+++ b/packages/standins/src/magnoliacrank/standins/platform_backend.py
@@ -59,6 +59,7 @@
         warmup_remaining_s: Reported time until the server is warm, in seconds.
         is_healthy: Whether the health check answers 200.
         reports_load: Whether answers report the load.
+        padding_bytes: Number of bytes added to each answer's body.
         state: State that the server reports in its store record.
         runs: Request ids of the requests that were run.
         received_headers: Headers of the requests that were run.
@@ -85,6 +86,7 @@
         self.warmup_remaining_s = 0.0
         self.is_healthy = True
         self.reports_load = True
+        self.padding_bytes = 0
         self.state = "ready"
         self.runs: list[str] = []
         self.received_headers: list[Mapping[str, str]] = []
@@ -190,6 +192,5 @@
             status = 503
         if self.fault not in (BackendFault.UNSIGNED, BackendFault.UNSTATED):
             headers["Response-Signature"] = "signed"
-        return web.Response(
-            status=status, headers=headers, body=self.server_id.encode()
-        )
+        content = self.server_id.encode() + b"." * self.padding_bytes
+        return web.Response(status=status, headers=headers, body=content)
