Check a configuration before it is sent

check-config reads a configuration as operators write it to the store and names errors, warnings and, beside the one in force, what would change. The plan in force drops repeated entries and weights of 0, so the review reads a listing of all entries.

--- a/packages/cli/src/magnoliacrank/cli/main.py
+++ b/packages/cli/src/magnoliacrank/cli/main.py
@@ -46,6 +46,11 @@
         "check_settings",
         "check a settings file of the platform",
     ),
+    _CommandEntry(
+        "check-config",
+        "check_config",
+        "check a configuration of the platform before it is sent",
+    ),
     _CommandEntry(
         "explain", "explain", "print the story of a request from log lines"
     ),
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -55,14 +55,6 @@
 _EXIT_MARGIN_S = 0.6
 """Time reserved between the end of serving and the kill by the platform."""
 
-_BODY_MEMORY_SHARE = 0.2
-"""Share of the process's memory for request bodies. Each body is in memory up
-to twice: in chunks and joined."""
-
-_ANSWER_MEMORY_SHARE = 0.1
-"""Share of the process's memory for answers. Each answer is in memory up to
-twice: in chunks and joined."""
-
 _PROBE_SHARE = 0.8
 """Share of the operators' bound on health requests that is used."""
 
@@ -124,8 +116,9 @@
             self.log,
             clock,
         )
+        memory_bytes = settings.memory_mb * 1e6
         answers = transfer_budget.TransferBudget(
-            int(settings.memory_mb * 1e6 * _ANSWER_MEMORY_SHARE)
+            int(memory_bytes * transfer_budget.ANSWER_MEMORY_SHARE)
         )
         self._table = backend_table.BackendTable(
             self.log, clock, self._probe_rate_per_s, answers
@@ -168,7 +161,9 @@
                 self._state,
                 self._view,
                 self._reader,
-                int(settings.memory_mb * 1e6 * _BODY_MEMORY_SHARE),
+                int(
+                    settings.memory_mb * 1e6 * transfer_budget.BODY_MEMORY_SHARE
+                ),
                 answers,
             ),
             limits,
--- a/packages/model/src/magnoliacrank/model/customer_table.py
+++ b/packages/model/src/magnoliacrank/model/customer_table.py
@@ -35,3 +35,24 @@
     def find(self, key: str) -> Customer | None:
         """Returns the customer that holds an API key, or None."""
         return self._by_key.get(key)
+
+    def key_count(self, name: str) -> int:
+        """Returns the number of API keys that a customer holds."""
+        return len(self._keys(name))
+
+    def key_changes(self, before: CustomerTable, name: str) -> tuple[int, int]:
+        """Returns how many keys a customer got and lost since another table.
+
+        Args:
+            before: The earlier table.
+            name: Name of the customer.
+        """
+        old, new = before._keys(name), self._keys(name)
+        return len(new - old), len(old - new)
+
+    def _keys(self, name: str) -> set[str]:
+        return {
+            key
+            for key, customer in self._by_key.items()
+            if customer.name == name
+        }
--- a/packages/platform/src/magnoliacrank/platform/operator_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/operator_wire.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from magnoliacrank.model import configuration_listing
 from magnoliacrank.model import orders
 from magnoliacrank.model import route_plan
 from magnoliacrank.platform import customer_wire
@@ -128,6 +129,46 @@
     )
 
 
+def decode_listing(
+    value: bytes,
+) -> configuration_listing.ConfigurationListing:
+    """Decodes a configuration with the entries that have no effect.
+
+    Raises:
+        WireValueError: The configuration is malformed.
+    """
+    plan = decode_configuration(value)
+    fields = wire_values.decode_json(value)
+    hosts = [
+        (wire_values.read_string(item, "host").lower(), item["paths"])
+        for item in wire_values.read_list(fields, "virtual-hosts")
+    ]
+    return configuration_listing.ConfigurationListing(
+        plan=plan,
+        routes=tuple(
+            configuration_listing.ListedRoute(
+                host, _decode_route(path), _unused_services(path)
+            )
+            for host, paths in hosts
+            for path in paths
+        ),
+        hosts=tuple(host for host, _ in hosts),
+        services=tuple(
+            wire_values.read_string(item, "name")
+            for item in wire_values.read_list(fields, "services")
+        ),
+    )
+
+
+def _unused_services(fields: Any) -> tuple[str, ...]:
+    """Returns the services that a route names with a weight of zero."""
+    return tuple(
+        item["service"]
+        for item in fields.get("traffic-split", ())
+        if not item["weight"]
+    )
+
+
 def _decode_service(fields: Any) -> route_plan.ServiceSettings:
     return route_plan.ServiceSettings(
         name=wire_values.read_string(fields, "name"),
--- a/packages/policy/src/magnoliacrank/policy/transfer_budget.py
+++ b/packages/policy/src/magnoliacrank/policy/transfer_budget.py
@@ -8,6 +8,14 @@
 
 from __future__ import annotations
 
+BODY_MEMORY_SHARE = 0.2
+"""Share of an instance's memory for request bodies. Each body is in memory up
+to twice: in chunks and joined."""
+
+ANSWER_MEMORY_SHARE = 0.1
+"""Share of an instance's memory for answers. Each answer is in memory up to
+twice: in chunks and joined."""
+
 _ADMISSION_SHARE = 0.5
 """Share of the memory for answers up to which new requests are accepted. The
 rest is for answers to requests that servers already run."""
