--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -26,7 +26,6 @@
 from magnoliacrank.entry import site_reader
 from magnoliacrank.entry import site_view
 from magnoliacrank.entry import usage_duty
-from magnoliacrank.gateway import answer_memory
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
@@ -35,6 +34,7 @@
 from magnoliacrank.policy import peer_status
 from magnoliacrank.policy import record_sources
 from magnoliacrank.policy import site_mesh
+from magnoliacrank.policy import transfer_budget
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -56,14 +56,6 @@
 _EXIT_MARGIN_S = 0.6
 """Time reserved between the end of serving and the kill by the platform."""
 
-_BODY_MEMORY_SHARE = 0.2
-"""Share of the process's memory for request bodies. Each body is in memory up
-to three times: as read, as encoded for a server, and in the socket's buffer."""
-
-_ANSWER_MEMORY_SHARE = 0.1
-"""Share of the process's memory for answers. Each answer is in memory up to
-twice: in chunks and joined."""
-
 _PROBE_SHARE = 0.8
 """Share of the operators' bound on health requests that is used."""
 
@@ -125,8 +117,9 @@
             self.log,
             clock,
         )
-        answers = answer_memory.AnswerMemory(
-            int(settings.memory_mb * 1e6 * _ANSWER_MEMORY_SHARE)
+        memory_bytes = settings.memory_mb * 1e6
+        answers = transfer_budget.TransferBudget(
+            int(memory_bytes * transfer_budget.ANSWER_MEMORY_SHARE)
         )
         self._table = backend_table.BackendTable(
             self.log, clock, self._probe_rate_per_s, answers
@@ -181,7 +174,9 @@
                 self._state,
                 self._view,
                 self._reader,
-                int(settings.memory_mb * 1e6 * _BODY_MEMORY_SHARE),
+                int(
+                    settings.memory_mb * 1e6 * transfer_budget.BODY_MEMORY_SHARE
+                ),
                 answers,
             ),
             limits,
--- a/packages/entry/src/magnoliacrank/entry/overload_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/overload_queue.py
@@ -178,7 +178,7 @@
         backend: backend_table.Backend,
     ) -> backend_table.Backend:
         now_s = self._clock()
-        backend.on_dispatch(now_s)
+        backend.on_dispatch(now_s, request.body_bytes)
         self._policy.on_dispatch(request, now_s)
         if request.may_wait:
             self.queue.order.shares.on_placed(request.priority, now_s)
