Count by the granted customer, and leave out windows without known counts

Requests count for the customer that the server is told, which may change between two attempts of a job. The first holder begins with the first window that has counts instead of the current one: traffic that starts at the end of a window made its window go unreported. After a restart of all processes, windows before the first known counts are left out; they were reported as empty.

--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -83,7 +83,7 @@
             trial.on_sent()
         choice = _describe_choice(backend, sent_s)
         span = job.trace.begin(request_trace.Hop.DISPATCH, choice)
-        usage_window = state.usage.add(job.customer)
+        usage_window = state.usage.add(grant.customer)
         outcome: ExchangeResult
         try:
             outcome = await backend.link.exchange(
@@ -99,7 +99,7 @@
         dispatch = dispatches.classify(outcome)
         job.trace.end(span, dispatch.reason)
         if dispatch.verdict is Verdict.NOT_RUN:
-            state.usage.withdraw(job.customer, usage_window)
+            state.usage.withdraw(grant.customer, usage_window)
         if (
             isinstance(outcome, backend_link.WholeAnswer)
             and outcome.status != request_wire.MISDIRECTED
--- a/packages/entry/src/magnoliacrank/entry/usage_reporter.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_reporter.py
@@ -98,6 +98,8 @@
         self._era: int | None = None
         self._era_window = 0
         self._recipient_since_s: float | None = None
+        self._first_whole_window = 0
+        self._active_since_s: float | None = None
         self._next_read_s = float("-inf")
         self._is_watching = False
         self._task: asyncio.Task[None] | None = None
@@ -123,12 +125,16 @@
         is_recipient = position < usage_sender.RECIPIENTS
         if not is_recipient or not self._knows_mesh(now_s):
             self._recipient_since_s = None
+            self._active_since_s = None
             self._drop("position")
             return
         if self._recipient_since_s is None:
             self._recipient_since_s = now_s
-        if self._ledger.is_empty:
+            self._first_whole_window = self._counter.current_window() + 1
+        if self._ledger.first_window is None:
             return
+        if self._active_since_s is None:
+            self._active_since_s = now_s
         if self._lease.is_held:
             await self._record_windows()
             if await self._outbox.send_next():
@@ -176,7 +182,7 @@
             return
         take_s = max(
             self._lease.earliest_take_s(),
-            self._recipient_since_s or now_s,
+            self._active_since_s or now_s,
         )
         take_s += position * _TAKEOVER_STEP_S
         if now_s < take_s:
@@ -228,9 +234,13 @@
         )
         if not await self._topic.take():
             return
-        current = self._counter.current_window()
         newest = self._topic.newest_window
-        self._next_window = current if newest is None else newest + 1
+        if newest is not None:
+            self._next_window = newest + 1
+        else:
+            first = self._ledger.first_window
+            current = self._counter.current_window()
+            self._next_window = current if first is None else first
         self._first_known_window = self._next_window
         if is_reset:
             # Windows that had ended before the store lost its newest records
@@ -320,12 +330,18 @@
         is_awaited = not present.isdisjoint(missing)
         if is_awaited and elapsed_s < self._late_s * _INCOMPLETE_SHARE:
             return None
-        if missing and not self._ledger.has_counts(window):
+        first = self._ledger.first_window
+        is_unknown = bool(missing) or first is None or window < first
+        if is_unknown and not self._ledger.has_counts(window):
             return None, "no-counts"
-        if missing:
+        is_whole = window >= self._first_whole_window
+        if missing or not is_whole:
+            # Instances that were lost before this one gathered counts may have
+            # had some that nobody knows.
             self._log.warning(
                 "usage incomplete",
                 window=window,
+                reason="counts-missing" if missing else "gathered-in-part",
                 instances=[source.node for source in missing],
             )
         counts = self._ledger.totals(window)
--- a/packages/entry/tests/test_usage_duty.py
+++ b/packages/entry/tests/test_usage_duty.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import types
 
 import attrs
@@ -14,6 +15,7 @@
 
 from magnoliacrank.entry import duty_topic
 from magnoliacrank.entry import usage_counter
+from magnoliacrank.entry import usage_messages
 from magnoliacrank.entry import usage_outbox
 from magnoliacrank.entry import usage_reporter
 from magnoliacrank.platform import settings_file
@@ -22,6 +24,7 @@
 from magnoliacrank.platform import usage_client
 from magnoliacrank.policy import duty_lease
 from magnoliacrank.policy import usage_windows
+from magnoliacrank.standins import platform_backend
 from magnoliacrank.standins import usage_service
 from magnoliacrank.standins import virtual_time
 
@@ -262,9 +265,9 @@
 def test_each_window_is_reported_once_by_one_holder():
     async def scenario(system):
         await asyncio.sleep(60)
-        assert system.windows() == _windows(1, 10)
+        assert system.windows() == _windows(0, 10)
         assert {call.holder for call in system.service.calls} == {"a"}
-        assert len(system.service.calls) == 10
+        assert len(system.service.calls) == 11
 
     _play(scenario)
 
@@ -319,11 +322,11 @@
         await asyncio.sleep(16)
         system.service.fault = fault
         await asyncio.sleep(2.6)
-        assert system.a.outbox.accepted == 1
+        assert system.a.outbox.accepted == 2
         system.a.kill()
         system.service.fault = Fault.NONE
         await asyncio.sleep(40)
-        assert system.windows() == _windows(1, 10)
+        assert system.windows() == _windows(0, 10)
         assert "builder a" in system.service.accepted[_FIRST + 2]
         assert system.b.outbox.missed == 0
 
@@ -338,7 +341,7 @@
 
         system.a.store.on_appended = on_appended
         await asyncio.sleep(40)
-        assert system.windows() == _windows(1, 6)
+        assert system.windows() == _windows(0, 6)
         assert "builder a" in system.service.accepted[_FIRST + 2]
         assert "builder b" in system.service.accepted[_FIRST + 3]
 
@@ -357,7 +360,7 @@
         late = [call for call in system.service.calls if not call.is_accepted]
         assert late
         assert {call.holder for call in late} == {"a"}
-        assert system.windows() == _windows(1, 10)
+        assert system.windows() == _windows(0, 10)
 
     _play(scenario)
 
@@ -368,7 +371,7 @@
         await asyncio.sleep(16)
         setattr(system.a.store, name, 1)
         await asyncio.sleep(34)
-        assert system.windows() == _windows(1, 8)
+        assert system.windows() == _windows(0, 8)
         assert {call.holder for call in system.service.calls} == {"a"}
 
     _play(scenario)
@@ -389,7 +392,7 @@
             instance.store.is_cut_off = False
         await asyncio.sleep(60 - 16 - seconds)
         left_out = {_FIRST + number for number in missed}
-        expected = [item for item in _windows(1, 10) if item not in left_out]
+        expected = [item for item in _windows(0, 10) if item not in left_out]
         assert system.windows() == expected
 
     _play(scenario)
@@ -408,7 +411,7 @@
         system.a.resume()
         system.a.cut_off(is_cut_off=False)
         await asyncio.sleep(24)
-        assert system.windows() == _windows(1, 10)
+        assert system.windows() == _windows(0, 10)
         assert {call.holder for call in system.service.calls} == {"a", "b"}
         assert system.a.reasons() == ["another-holder"]
         assert all(call.is_accepted for call in system.service.calls)
@@ -428,7 +431,7 @@
         system.a.store.era = system.records.era
         await asyncio.sleep(60 - at_s)
         assert system.windows() == [
-            item for item in _windows(1, 10) if item - _FIRST not in missed
+            item for item in _windows(0, 10) if item - _FIRST not in missed
         ]
         tokens = sorted({call.token >> 32 for call in system.service.calls})
         assert tokens == [1, 2]
@@ -443,7 +446,7 @@
         system.a.store.era = system.records.era
         await asyncio.sleep(0.9)
         keys = {key for key, _ in system.records.items}
-        expected = {f"report/{window % 8}" for window in _windows(1, 2)}
+        expected = {f"report/{window % 8}" for window in _windows(0, 2)}
         assert keys == {"holder", *expected}
 
     _play(scenario)
@@ -454,7 +457,7 @@
 
     async def scenario(system):
         await asyncio.sleep(18.5)
-        assert system.windows() == _windows(1, 2)
+        assert system.windows() == _windows(0, 2)
         system.a.kill()
         system.records.reset(lost=1)
         await asyncio.sleep(40)
@@ -466,6 +469,24 @@
     _play(scenario)
 
 
+def test_windows_before_the_start_of_all_processes_are_left_out():
+    """Their counts were lost with the processes; zero would be a guess."""
+
+    async def scenario(system):
+        holder = duty_lease.DutyRecord("z", (1 << 32) + 5, 1)
+        report = usage_messages.encode_report(_FIRST - 2, None)
+        system.records.items += [
+            ("holder", usage_messages.encode_holder(holder)),
+            (usage_messages.report_key(_FIRST - 2), report),
+        ]
+        await asyncio.sleep(30)
+        assert system.windows() == _windows(0, 4)
+        assert system.a.reasons() == ["no-counts"]
+        assert system.service.calls[0].token == holder.token + 1
+
+    _play(scenario)
+
+
 def test_refused_token_is_not_used_again():
     async def scenario(system):
         await asyncio.sleep(16)
@@ -476,7 +497,7 @@
         ]
         assert len(refused) == 1
         assert system.a.reasons() == ["fenced"]
-        assert system.windows() == _windows(1, 10)
+        assert system.windows() == _windows(0, 10)
 
     _play(scenario)
 
@@ -488,9 +509,9 @@
         system.service.fault = fault
         await asyncio.sleep(6)
         system.service.fault = Fault.NONE
-        assert system.service.received <= 1 + 12
+        assert system.service.received <= 2 + 12
         await asyncio.sleep(38)
-        assert system.windows() == _windows(1, 10)
+        assert system.windows() == _windows(0, 10)
 
     _play(scenario)
 
@@ -517,16 +538,25 @@
         await asyncio.sleep(16)
         system.service.fault = Fault.NONE
         await asyncio.sleep(28)
-        assert system.windows() == [_FIRST + 1, *_windows(4, 10)]
+        assert system.windows() == [*_windows(0, 1), *_windows(4, 10)]
         assert system.a.reasons() == ["throttled", "throttled"]
 
     _play(scenario)
 
 
-async def test_counts_of_all_instances_are_reported_together(site):
-    service = usage_service.UsageService(asyncio.get_running_loop().time)
+async def test_requests_through_all_instances_are_reported_together(site):
+    """Requests that a server refused to run don't count."""
+    loop = asyncio.get_running_loop()
+    service = usage_service.UsageService(loop.time)
     await service.start()
-    await site.add_backend("s1")
+    tenants = [
+        {"name": "huka", "api-keys": ["key-1"]},
+        {"name": "puhu", "api-keys": ["key-2"]},
+    ]
+    site.configure(site.configuration(tenants=tenants))
+    runs = await site.add_backend("s1")
+    refuses = await site.add_backend("s2")
+    refuses.fault = platform_backend.BackendFault.SHED
     fields = {
         "bounds": settings_file.SafetyBounds(
             grace_s=3.2, lease_s=0.5, usage_window_s=1.0, usage_late_s=4.0
@@ -535,27 +565,34 @@
             service.address, (usage_client.DUTY,), 50.0
         ),
     }
-    first = await site.add_instance(1, **fields)
-    second = await site.add_instance(2, seeds=("127.0.0.1",), **fields)
+    await site.add_instance(1, **fields)
+    await site.add_instance(2, seeds=("127.0.0.1",), **fields)
     await site.ready()
-    counted = {}
-
-    def count():
-        for instance, customer in ((first, "huka"), (second, "puhu")):
-            window = instance._usage.counter.add(customer)
-            totals = counted.setdefault(window, {})
-            totals[customer] = totals.get(customer, 0) + 1
-
-    async with asyncio.timeout(20):
-        while len(service.accepted) < 3:
-            count()
-            await asyncio.sleep(0.02)
-    await service.close()
+    # Windows that began before the instances have met may be left out.
+    await asyncio.sleep(1.2)
+
+    def reported():
+        totals = collections.Counter()
+        for counts in service.accepted.values():
+            totals.update(counts)
+        return totals
+
+    for number in range(120):
+        await site.request(
+            number=1 + number % 2,
+            request_id=f"r{number}",
+            headers={"Authorization": f"Bearer key-{1 + number % 3 // 2}"},
+        )
+        await asyncio.sleep(0.02)
+    executed = collections.Counter(
+        headers["Tenant"] for headers in runs.received_headers
+    )
+    assert set(executed) == {"huka", "puhu"}
+    await site.until(lambda: reported() == executed, timeout_s=20)
+    await asyncio.sleep(1)
+    assert reported() == executed
     assert service.violations(0.5) == []
-    # The first window may have begun before the instances knew each other.
-    for window in sorted(service.accepted)[1:]:
-        assert service.accepted[window] == counted[window]
-        assert set(counted[window]) == {"huka", "puhu"}
+    await service.close()
 
 
 async def test_without_the_duty_nothing_is_counted_and_no_call_made(site):
--- a/packages/entry/tests/test_usage_sender.py
+++ b/packages/entry/tests/test_usage_sender.py
@@ -94,7 +94,7 @@
     async def scenario(system):
         await asyncio.sleep(20)
         assert system.messages == 0
-        assert system.ledger.is_empty
+        assert system.ledger.first_window is None
 
     _play(scenario)
 
--- a/packages/policy/src/magnoliacrank/policy/usage_windows.py
+++ b/packages/policy/src/magnoliacrank/policy/usage_windows.py
@@ -137,9 +137,9 @@
         self._windows: dict[int, dict[Source, WindowCounts]] = {}
 
     @property
-    def is_empty(self) -> bool:
-        """Whether no counts have been received yet."""
-        return not self._windows
+    def first_window(self) -> int | None:
+        """Oldest window with counts; None if no counts have been received."""
+        return min(self._windows, default=None)
 
     def merge(self, source: Source, counts: WindowCounts, current: int) -> None:
         """Replaces the counts of a process in a window by newer ones.
