--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -7,6 +7,7 @@
 from magnoliacrank.policy import caller_access
 from magnoliacrank.policy import crash_register
 from magnoliacrank.policy import repeat_budget
+from magnoliacrank.policy import return_register
 from magnoliacrank.policy import service_load
 from magnoliacrank.policy import stated_timeouts
 from magnoliacrank.policy import weighted_round_robin
@@ -71,7 +72,7 @@
         self.usage = usage
         self.crashes = crash_register.CrashRegister()
         self.plan: route_plan.RoutePlan | None = None
-        self.highest_priority = 0
+        self.returns = return_register.ReturnRegister()
         self.load_meter = service_load.ServiceLoadMeter()
         self.peer_loads = service_load.ServiceLoadRegister()
         self._bounds = bounds
@@ -86,7 +87,6 @@
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
         """Takes over a configuration that came into force."""
         self.plan = plan
-        self.highest_priority = plan.highest_priority
 
     def access(
         self, rule: route_plan.RouteRule, api_key: str | None
@@ -107,13 +107,38 @@
             now_s: Clock time in seconds.
         """
         loads = (
-            self.load_meter.load(
-                service, self.placer.queue(service).length, now_s
-            )
+            self._own_load(service, now_s)
             for service in self.load_meter.services()
         )
         return [load for load in loads if load.demand_per_s or load.waiting]
 
+    def agree_levels(self, now_s: float) -> None:
+        """Renews what is known of each service at all instances.
+
+        To be called with each heartbeat: without it, agreed levels lapse.
+
+        Args:
+            now_s: Clock time in seconds.
+        """
+        for service in self.load_meter.services():
+            others = self.peer_loads.loads(service, now_s)
+            self.placer.agree(
+                self._own_load(service, now_s),
+                [load for _, load in others],
+                now_s,
+            )
+
+    def admitted_priority(self) -> int:
+        """Returns the most urgent level at which any service is short."""
+        now_s = self.clock()
+        return min(
+            (
+                self.placer.level(service).level(now_s)
+                for service in self.load_meter.services()
+            ),
+            default=service_load.LOWEST_PRIORITY,
+        )
+
     def allowance(self, service: str) -> repeat_budget.RepeatBudget:
         """Returns the retry budget of a service, created on first use."""
         allowance = self._repeat_budgets.get(service)
@@ -128,12 +153,15 @@
             self._repeat_budgets[service] = allowance
         return allowance
 
-    def try_retry(self, service: str, urgency: repeat_budget.Urgency) -> bool:
+    def try_retry(
+        self, service: str, urgency: repeat_budget.Urgency, priority: int
+    ) -> bool:
         """Takes one retry from the retry budget of a service.
 
         Args:
             service: Name of the service.
             urgency: How much of the budget the retry may draw on.
+            priority: Priority of the request; 0 is the most urgent.
 
         Returns:
             Whether the budget allows the retry.
@@ -147,7 +175,7 @@
             share = repeat_budget.SlackShare.OTHER
             instances = max(len(ready_instances) - len(crew), 1)
         return self.allowance(service).try_take(
-            now_s, share, instances, urgency
+            now_s, share, instances, urgency, priority
         )
 
     def work_s(self, rule: route_plan.RouteRule) -> float:
@@ -210,6 +238,14 @@
             self._cursors[rule.name] = cursor
         return cursor.next_service()
 
+    def _own_load(self, service: str, now_s: float) -> service_load.ServiceLoad:
+        return self.load_meter.load(
+            service,
+            self.placer.queue(service).length,
+            now_s,
+            self.placer.level(service).own_level(now_s),
+        )
+
     def _timeouts_of(
         self, rule: route_plan.RouteRule
     ) -> stated_timeouts.StatedTimeouts:
