Keep a known report when a delayed write replaces it after a reset

A report never changes in the store, but after a return from an older copy an append without an answer may be executed at an offset that was used before. The holder took the stored bytes for the report that it had sent. Found by reading; the new test failed without the change. 'usage duty lost' names the token of the instance that lost it, not its successor's.

--- a/packages/entry/src/magnoliacrank/entry/duty_topic.py
+++ b/packages/entry/src/magnoliacrank/entry/duty_topic.py
@@ -90,8 +90,7 @@
             elif record.key.startswith(usage_messages.REPORT_KEY_PREFIX):
                 report = usage_messages.decode_report(value)
                 if report is not None:
-                    self._stored.add(report.window)
-                    self.reports[report.window] = report.content
+                    self._merge(report)
         self._drop_old_reports()
         mark = duty_lease.TopicMark(self.era, newest.end)
         self._lease.on_read(holder, mark, self._clock())
@@ -193,6 +192,16 @@
             )
         return not failure
 
+    def _merge(self, report: usage_messages.ReportRecord) -> None:
+        """Adopts a stored report, unless another one is known.
+
+        A report never changes in the store, except that after a reset a delayed
+        write may be executed in place of the report that was sent.
+        """
+        known = self.reports.setdefault(report.window, report.content)
+        if known == report.content:
+            self._stored.add(report.window)
+
     def _drop_old_reports(self) -> None:
         newest = max(self.reports, default=0)
         first = newest - usage_messages.REPORT_KEYS + 1
--- a/packages/entry/src/magnoliacrank/entry/usage_reporter.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_reporter.py
@@ -94,6 +94,7 @@
         self._next_window = 0
         self._first_known_window = 0
         self._was_holder = False
+        self._own_token = 0
         self._kept_lease = False
         self._era: int | None = None
         self._era_window = 0
@@ -153,7 +154,7 @@
             self._was_holder = False
             self._next_read_s = float("-inf")
             self._log.event(
-                "usage duty lost", token=self._lease.token, reason=reason
+                "usage duty lost", token=self._own_token, reason=reason
             )
 
     def _check_era(self, now_s: float) -> None:
@@ -249,6 +250,7 @@
         self._kept_lease = False
         self._is_watching = False
         self._was_holder = True
+        self._own_token = self._lease.token
         self._outbox.clear()
         for window, report in self._topic.reports.items():
             if report is not None and self._counter.left_s(window) > 0:
--- a/packages/entry/tests/test_usage_duty.py
+++ b/packages/entry/tests/test_usage_duty.py
@@ -229,6 +229,26 @@
     _play(scenario)
 
 
+def test_delayed_write_does_not_replace_a_report_after_a_reset():
+    async def scenario(system):
+        await asyncio.sleep(18.6)
+        window = _FIRST + 2
+        records = system.records
+        key = usage_messages.report_key(window)
+        sent = dict(records.items)[key]
+        records.reset(lost=1)
+        other = usage_client.encode_report(window, {"huka": 1}).decode()
+        delayed = usage_messages.encode_report(window, other)
+        records.append(key, delayed, None)
+        system.a.store.learn_era()
+        await asyncio.sleep(1)
+        assert dict(records.items)[key] == sent
+        system.a.kill()
+        await asyncio.sleep(10)
+
+    _play(scenario)
+
+
 def test_holder_and_its_records_are_lost_together():
     """The successor doesn't guess what the former holder has sent."""
 
