--- a/packages/entry/src/magnoliacrank/entry/usage_counter.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_counter.py
@@ -41,6 +41,11 @@
         self._time_of_day = time_of_day
         self._true_time = true_time.TrueTime()
 
+    @property
+    def clocks(self) -> list[str]:
+        """Names of the instances whose clocks were heard of."""
+        return self._true_time.nodes
+
     def unix_s(self) -> float:
         """Returns the estimated seconds since 1970 in true time."""
         return self._true_time.unix_s(self.clock(), self._time_of_day())
--- a/packages/entry/tests/test_usage_duty.py
+++ b/packages/entry/tests/test_usage_duty.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from magnoliacrank.entry import usage_counter
 from magnoliacrank.entry import usage_messages
 from magnoliacrank.platform import settings_file
 from magnoliacrank.platform import usage_client
@@ -362,9 +363,10 @@
             service.address, (usage_client.DUTY,), 50.0
         ),
     }
-    await site.add_instance(1, **fields)
+    first = await site.add_instance(1, **fields)
     await site.add_instance(2, seeds=("127.0.0.1",), **fields)
     await site.ready()
+    await site.until(lambda: "front-2" in first._usage.counter.clocks)
     # Windows that began before the instances have met may be left out.
     await asyncio.sleep(1.2)
 
@@ -392,6 +394,16 @@
     await service.close()
 
 
+def test_request_counts_in_the_window_of_most_clocks():
+    counter = usage_counter.UsageCounter(
+        5.0, 10.0, lambda: 50.0, is_enabled=True, time_of_day=lambda: 1001.5
+    )
+    for number, unix_s in enumerate((999.4, 999.5, 999.5, 1001.5)):
+        counter.on_peer_time(f"front-{number}", round(unix_s * 1000))
+    assert counter.add("huka") == 199
+    assert len(counter.clocks) == 4
+
+
 async def test_without_the_duty_nothing_is_counted_and_no_call_made(site):
     instance = await site.add_instance()
     assert instance._usage.counter.add("huka") is None
--- a/packages/policy/src/magnoliacrank/policy/true_time.py
+++ b/packages/policy/src/magnoliacrank/policy/true_time.py
@@ -27,6 +27,11 @@
         self._offset_s: float | None = None
         self._updated_s = float("-inf")
 
+    @property
+    def nodes(self) -> list[str]:
+        """Names of the other instances whose time is known."""
+        return list(self._offsets)
+
     def on_peer_time(self, node: str, unix_s: float, now_s: float) -> None:
         """Records the time of day that another instance states.
 
