Offer a freed server to the waiting request first in order

The answer that frees a slot tells the server's load, but a waiting request that it woke looked at a few servers by chance.

--- a/packages/entry/src/magnoliacrank/entry/overload_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/overload_queue.py
@@ -27,6 +27,9 @@
         [placement_requests.PlacementRequest],
         Awaitable[backend_table.Backend | None],
     ]
+    ConfirmBackend = Callable[
+        [placement_requests.PlacementRequest, backend_table.Backend], bool
+    ]
 
 Cause = wait_policy.Cause
 
@@ -44,6 +47,8 @@
 
     Args:
         find_backend: Searches once for a free server.
+        confirm_backend: Returns whether a given server is free and good for a
+            request, which then counts as found.
         clock: Returns the monotonic time in seconds.
         rng: Random numbers for spreading retries.
     """
@@ -51,11 +56,14 @@
     def __init__(
         self,
         find_backend: FindBackend,
+        confirm_backend: ConfirmBackend,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.queue = wait_queue.WaitQueue(clock)
         self._find_backend = find_backend
+        self._confirm_backend = confirm_backend
+        self._freed: backend_table.Backend | None = None
         self._clock = clock
         self._rng = rng
         self.level = admission_level.AdmissionLevel()
@@ -105,6 +113,11 @@
         self.level.agree(level, now_s)
         self._policy.on_peer_loads(others, now_s)
 
+    def on_slot_freed(self, backend: backend_table.Backend) -> None:
+        """Wakes waiting requests after a server has ended a request."""
+        self._freed = backend
+        self.queue.on_slot_freed()
+
     async def _wait(
         self,
         request: placement_requests.PlacementRequest,
@@ -146,7 +159,9 @@
             if yields:
                 left_s = request.wait_deadline_s - self._clock()
                 await asyncio.sleep(self.level.yield_s(left_s))
-            backend = await self._find_backend(request)
+            backend = None if yields else self._take_freed(request)
+            if backend is None:
+                backend = await self._find_backend(request)
             if yields:
                 self.level.on_search(found=backend is not None)
             if backend is not None:
@@ -160,6 +175,19 @@
             if not yields:
                 await self.queue.wait_until_freed(POLL_S)
 
+    def _take_freed(
+        self, request: placement_requests.PlacementRequest
+    ) -> backend_table.Backend | None:
+        """Returns the server that has just ended a request, if it is good.
+
+        Its answer told its load, so it needs no health request. Requests that
+        yield leave it to more urgent ones elsewhere.
+        """
+        backend, self._freed = self._freed, None
+        if backend is None or not self._confirm_backend(request, backend):
+            return None
+        return backend
+
     def _yields(self, request: placement_requests.PlacementRequest) -> bool:
         """Whether more urgent requests lack servers, here or elsewhere."""
         return request.priority > self.level.level(self._clock())
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -148,7 +148,7 @@
         backend.in_flight -= 1
         queue = self._queues.get(backend.entry.service)
         if queue is not None:
-            queue.queue.on_slot_freed()
+            queue.on_slot_freed(backend)
 
     def _no_server_retry_s(self) -> float:
         return _NO_SERVER_RETRY_S * self._rng.uniform(0.6, 1.4)
@@ -157,11 +157,26 @@
         found = self._queues.get(service)
         if found is None:
             found = overload_queue.OverloadQueue(
-                self._find_backend, self._clock, self._rng
+                self._find_backend,
+                self._confirm_freed,
+                self._clock,
+                self._rng,
             )
             self._queues[service] = found
         return found
 
+    def _confirm_freed(
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
+    ) -> bool:
+        """Confirms a server that has just ended a request for another one."""
+        return (
+            backend in self._candidates(request)
+            and self._best_good_backend(request, [backend]) is not None
+            and self._try_confirm(backend)
+        )
+
     async def _find_backend(
         self, request: placement_requests.PlacementRequest
     ) -> backend_table.Backend | None:
