Send to other data centres what the own one lacks, and no more

Cause: a search for a server probes nine at most, local ones first, so a data centre with nine servers or more of a service never used another one, however full its own were; one with fewer sent on whatever was good in the third round, whether the others had room or not.

Each instance computes from the loads in heartbeats and the servers' slots, at their measured speed, the flows between all data centres that even the expected waits out, less what crossing costs. Its own share follows with hysteresis and bounds the requests that leave. A request first tries local servers, and waits for one as long as crossing would cost if its data centre isn't short. Distance is the least round trip of health requests. Without recent reports of others nothing is restricted.

--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -25,6 +25,7 @@
 from magnoliacrank.entry import service_handlers
 from magnoliacrank.entry import site_reader
 from magnoliacrank.entry import site_view
+from magnoliacrank.entry import spillover_control
 from magnoliacrank.gateway import answer_memory
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
@@ -150,6 +151,19 @@
             bounds,
             rng,
         )
+        self._placer.set_spillover(
+            spillover_control.SpilloverControl(
+                self._view,
+                self._table,
+                self._roster,
+                self._state,
+                self._placer.crowding_of,
+                self.log,
+                self._metrics,
+                clock,
+                rng,
+            )
+        )
         self._link = heartbeat_link.HeartbeatLink(
             settings.ip,
             settings.peer_port,
--- a/packages/entry/src/magnoliacrank/entry/entry_metrics.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_metrics.py
@@ -28,6 +28,18 @@
         self._refusals = self._counter(
             "magnoliacrank_refusals_total", "Own refusals by reason."
         )
+        self._crossings = self._counter(
+            "magnoliacrank_crossings_total",
+            "Requests to servers of other data centres.",
+        )
+        self._crossing_bytes = self._counter(
+            "magnoliacrank_crossing_bytes_total",
+            "Expected bytes of these requests and their answers.",
+        )
+        self._spillover_shares = self._gauge(
+            "magnoliacrank_spillover_share",
+            "Share of requests for which the data centre lacks servers.",
+        )
         self._gauges = self._gauge(
             "magnoliacrank_state", "Ages in seconds and counts by name."
         )
@@ -64,6 +76,22 @@
         """Counts a request that this instance refused."""
         self._refusals.inc({"reason": reason})
 
+    def on_crossing(self, service: str, data_centre: str, size: int) -> None:
+        """Counts a request that is sent to another data centre.
+
+        Args:
+            service: Service that executes the request.
+            data_centre: Data centre of the server.
+            size: Size of its body plus the expected size of its answer.
+        """
+        labels = {"service": service, "data_centre": data_centre}
+        self._crossings.inc(labels)
+        self._crossing_bytes.add(labels, size)
+
+    def set_spillover_share(self, service: str, share: float) -> None:
+        """Sets the share of a service's requests that is to leave."""
+        self._spillover_shares.set({"service": service}, share)
+
     def render(self) -> bytes:
         """Returns all metrics in Prometheus' text format."""
         for name, source in self._gauge_sources.items():
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -84,13 +84,22 @@
             now_s: Clock time in seconds.
         """
         loads = (
-            self.load_meter.load(
-                service, self.placer.queue(service).length, now_s
-            )
+            self.own_load(service, now_s)
             for service in self.load_meter.services()
         )
         return [load for load in loads if load.demand_per_s or load.waiting]
 
+    def own_load(self, service: str, now_s: float) -> service_load.ServiceLoad:
+        """Returns the load of a service at this instance.
+
+        Args:
+            service: Name of the service.
+            now_s: Clock time in seconds.
+        """
+        return self.load_meter.load(
+            service, self.placer.queue(service).length, now_s
+        )
+
     def allowance(self, service: str) -> repeat_budget.RepeatBudget:
         """Returns the retry budget of a service, created on first use."""
         allowance = self._repeat_budgets.get(service)
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -21,6 +21,7 @@
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import site_view
+    from magnoliacrank.entry import spillover_control
     from magnoliacrank.policy import instance_roster
 
 _PROBES_PER_ROUND = 3
@@ -95,6 +96,13 @@
         self._without_load_reports: set[str] = set()
         self._wait_policies: dict[str, wait_policy.WaitPolicy] = {}
         self._running_probes: dict[str, asyncio.Task[None]] = {}
+        self._spillover: spillover_control.SpilloverControl | None = None
+
+    def set_spillover(
+        self, control: spillover_control.SpilloverControl
+    ) -> None:
+        """Sets what bounds the requests to other data centres."""
+        self._spillover = control
 
     def queue(self, service: str) -> wait_queue.WaitQueue:
         """Returns the wait queue of a service, created on first use."""
@@ -203,13 +211,13 @@
         health_path = "/health" if service is None else service.health_path
         candidates = self._candidates(request)
         if request.service in self._without_load_reports:
-            return self._find_by_in_flight(candidates)
+            return self._find_by_in_flight(request, candidates)
         rounds = placement.probe_rounds(
             candidates, self._is_remote, _PROBES_PER_ROUND, _MAX_PROBE_ROUNDS
         )
         for probed in rounds:
             good = await self._probe_round(request, probed, health_path)
-            if good is not None and self._try_confirm(good):
+            if good is not None and self._try_use(request, good):
                 return good
         usable = [
             (rating.order, index, backend)
@@ -219,12 +227,14 @@
             and self._is_acceptable(request, rating)
         ]
         for _, _, backend in sorted(usable):
-            if self._try_confirm(backend):
+            if self._try_use(request, backend):
                 return backend
         return None
 
     def _find_by_in_flight(
-        self, candidates: list[backend_table.Backend]
+        self,
+        request: placement_requests.PlacementRequest,
+        candidates: list[backend_table.Backend],
     ) -> backend_table.Backend | None:
         """Chooses by in-flight requests among servers that report no load.
 
@@ -247,7 +257,7 @@
             for index, backend in enumerate(free)
         ]
         for *_, index in sorted(keyed):
-            if self._try_confirm(free[index]):
+            if self._try_use(request, free[index]):
                 return free[index]
         return None
 
@@ -320,11 +330,16 @@
         self, backend: backend_table.Backend, health_path: str
     ) -> None:
         try:
+            started_s = self._clock()
             report = await self._table.probe(backend, health_path)
         finally:
             del self._running_probes[backend.entry.server_id]
         if report is None or not report.is_healthy:
             return
+        if self._spillover is not None:
+            self._spillover.on_round_trip(
+                backend.entry.data_centre, self._clock() - started_s
+            )
         if not report.has_load:
             self._without_load_reports.add(backend.entry.service)
 
@@ -370,13 +385,20 @@
             return None
         if not self._cold_gate.may_use(backend, now_s):
             return None
+        is_remote = self._is_remote(backend)
+        distance_ratio = 0.0
+        if is_remote and self._spillover is not None:
+            distance_ratio = self._spillover.distance_ratio(
+                backend, request.work_s
+            )
         return placement.rate(
             report,
             backend.sent_since_report,
             backend.health.duration_ratio,
             self.crowding_of(request.service).factor,
-            is_remote=self._is_remote(backend),
+            is_remote=is_remote,
             transfer_bytes=request.transfer_bytes,
+            distance_ratio=distance_ratio,
         )
 
     def _candidates(
@@ -413,7 +435,10 @@
             for backend in usable
         ]
         keyed.sort(key=lambda item: item[:2])
-        return [backend for _, _, backend in keyed]
+        candidates = [backend for _, _, backend in keyed]
+        if self._spillover is None:
+            return candidates
+        return self._spillover.arrange(request, candidates)
 
     def _first_healthy(
         self,
@@ -457,6 +482,18 @@
     def _is_remote(self, backend: backend_table.Backend) -> bool:
         return backend.entry.data_centre != self._data_centre
 
+    def _try_use(
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
+    ) -> bool:
+        """Confirms a server, and counts it if it is in another data centre."""
+        if not self._try_confirm(backend):
+            return False
+        if self._spillover is not None:
+            self._spillover.on_sent(request, backend)
+        return True
+
     def _try_confirm(self, backend: backend_table.Backend) -> bool:
         """Confirms a server for a request, and takes a token if it is cold.
 
--- a/packages/policy/src/magnoliacrank/policy/crowding.py
+++ b/packages/policy/src/magnoliacrank/policy/crowding.py
@@ -89,6 +89,16 @@
     return busy > _NEARLY_FULL_SHARE * slots
 
 
+def worthwhile_slots(slots: int, factor: float) -> int:
+    """Returns the slots of a server that are worth using.
+
+    Args:
+        slots: Slots of the server.
+        factor: Ratio of the duration at nearly full servers to that at others.
+    """
+    return slots if is_last_slot_worth_using(slots, factor) else slots - 1
+
+
 def is_last_slot_worth_using(slots: int, factor: float) -> bool:
     """Returns whether using its last slot increases a server's throughput.
 
--- a/packages/policy/src/magnoliacrank/policy/placement.py
+++ b/packages/policy/src/magnoliacrank/policy/placement.py
@@ -38,7 +38,8 @@
 nearly full servers is unknown."""
 
 _REMOTE_COST = 1.1
-"""Cost factor of a server in another data centre."""
+"""Least cost factor of a server in another data centre; traffic between data
+centres has a price even where they are close."""
 
 _REMOTE_COST_PER_MB = 8.0
 """Addition to `_REMOTE_COST` for each megabyte sent between data centres."""
@@ -144,6 +145,7 @@
     *,
     is_remote: bool,
     transfer_bytes: int,
+    distance_ratio: float = 0.0,
 ) -> Rating:
     """Rates a server for a request by its newest load report.
 
@@ -156,17 +158,17 @@
             others.
         is_remote: Whether the server is in another data centre.
         transfer_bytes: Size of the bodies of the request and its answer.
+        distance_ratio: For a remote server, the additional round trip as a
+            multiple of the expected execution time.
 
     Returns:
         The rating.
     """
     if not report.is_healthy:
         return Rating(Fit.UNFIT, 1.0)
-    cost = report.slowdown * max(
-        duration_ratio / _MAX_USUAL_DURATION_RATIO, 1.0
-    )
+    cost = _duration_factor(report, duration_ratio)
     if is_remote:
-        cost *= _distance_cost(transfer_bytes)
+        cost *= _distance_cost(transfer_bytes, distance_ratio)
     if not report.tells_load:
         return Rating(Fit.GOOD, cost * (1 + sent_since))
     busy = report.running + report.waiting + sent_since
@@ -181,9 +183,45 @@
     return Rating(Fit.SLOW, cost)
 
 
-def _distance_cost(transfer_bytes: int) -> float:
+def speed(report: backend_entry.HealthReport, duration_ratio: float) -> float:
+    """Returns a server's speed as a share of its usual one.
+
+    Args:
+        report: Newest load report of the server.
+        duration_ratio: Smoothed ratio of the actual to the expected duration of
+            its requests.
+    """
+    if not report.is_healthy:
+        return 0.0
+    return 1.0 / max(_duration_factor(report, duration_ratio), 1.0)
+
+
+def crossing_cost_s(work_s: float, distance_s: float) -> float:
+    """Returns what a small request costs more in another data centre.
+
+    Args:
+        work_s: Expected execution time in seconds.
+        distance_s: Additional round trip in seconds.
+    """
+    ratio = distance_s / work_s if work_s else 0.0
+    return (_distance_cost(0, ratio) - 1) * work_s
+
+
+def _duration_factor(
+    report: backend_entry.HealthReport, duration_ratio: float
+) -> float:
+    """Returns the expected duration as a multiple of the usual one."""
+    return report.slowdown * max(
+        duration_ratio / _MAX_USUAL_DURATION_RATIO, 1.0
+    )
+
+
+def _distance_cost(transfer_bytes: int, distance_ratio: float = 0.0) -> float:
     """Returns the cost factor of a server in another data centre."""
-    return _REMOTE_COST + _REMOTE_COST_PER_MB * transfer_bytes / 1e6
+    return (
+        max(_REMOTE_COST, 1 + distance_ratio)
+        + _REMOTE_COST_PER_MB * transfer_bytes / 1e6
+    )
 
 
 def _batched(items: Iterable[_ServerT], size: int) -> Iterator[list[_ServerT]]:
--- a/packages/policy/src/magnoliacrank/policy/service_load.py
+++ b/packages/policy/src/magnoliacrank/policy/service_load.py
@@ -201,6 +201,15 @@
             if service in report.loads
         ]
 
+    def data_centres(self, now_s: float) -> set[str]:
+        """Returns the data centres from which recent reports have arrived.
+
+        Args:
+            now_s: Current monotonic time in seconds.
+        """
+        self._drop_expired(now_s)
+        return {report.data_centre for report in self._reports.values()}
+
     def _drop_expired(self, now_s: float) -> None:
         expired = [
             node
