Steer callers by the share that lastingly leaves their data centre

Cause: where a data centre lacks servers for longer than callers cache addresses, each request that leaves is forwarded between data centres, though its caller could connect there itself.

Ruled out: attributing steered callers to their home (a wrong guess would raise the share that it is computed from), and naming both crews in one answer (callers keep their connections, so the share that moves is unknown).

--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -30,6 +30,7 @@
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
+from magnoliacrank.policy import caller_steering
 from magnoliacrank.policy import instance_roster
 from magnoliacrank.policy import mesh_protocol
 from magnoliacrank.policy import peer_status
@@ -37,6 +38,7 @@
 from magnoliacrank.policy import site_mesh
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
     import socket
 
@@ -87,6 +89,7 @@
         clock = clocks.boot_time_s
         bounds = settings.bounds
         rng = random.Random()
+        self._rng = rng
         self._settings = settings
         self._listeners = dict(listeners or {})
         self._clock = clock
@@ -151,19 +154,19 @@
             bounds,
             rng,
         )
-        self._placer.set_spillover(
-            spillover_control.SpilloverControl(
-                self._view,
-                self._table,
-                self._roster,
-                self._state,
-                self._placer.crowding_of,
-                self.log,
-                self._metrics,
-                clock,
-                rng,
-            )
+        self._spillover = spillover_control.SpilloverControl(
+            self._view,
+            self._table,
+            self._roster,
+            self._state,
+            self._placer.crowding_of,
+            self.log,
+            self._metrics,
+            clock,
+            rng,
         )
+        self._placer.set_spillover(self._spillover)
+        self._steering = caller_steering.StatedShares()
         self._link = heartbeat_link.HeartbeatLink(
             settings.ip,
             settings.peer_port,
@@ -279,6 +282,8 @@
         )
         self._roster.set_own(fact)
         view = self._view
+        shares = self._spillover.lasting_shares.stated(now_s)
+        self._steering.on_report(fact.node, shares, now_s)
         return heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=attrs.astuple(fact),
@@ -297,6 +302,7 @@
             loads=[
                 attrs.astuple(load) for load in self._state.own_loads(now_s)
             ],
+            steering=[attrs.astuple(share) for share in shares],
         )
 
     def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
@@ -308,6 +314,8 @@
         self._state.peer_loads.on_report(
             fact.node, fact.data_centre, beat.service_loads, now_s
         )
+        if fact.data_centre == self._settings.data_centre:
+            self._steering.on_report(fact.node, beat.lasting_shares, now_s)
         self._state.crashes.update_peer_counts(fact.node, beat.crashes, now_s)
         if self._roster.is_follower(now_s):
             self._state.crashes.apply_peer_blocks(beat.blocked, now_s)
@@ -397,6 +405,7 @@
                 self._view,
                 settings.front[1],
                 min(_DIRECTORY_TTL_S, settings.bounds.directory_ttl_s),
+                self._steered,
                 self._clock,
             )
             servers.append(
@@ -407,6 +416,21 @@
             )
         return servers
 
+    def _steered(self, services: Collection[str]) -> str | None:
+        """Returns the data centre for one look-up of callers nearby.
+
+        Args:
+            services: Services that they use.
+        """
+        now_s = self._clock()
+        demands = {
+            service: self._state.local_demand_slots(service, now_s)
+            for service in services
+        }
+        return caller_steering.steered_data_centre(
+            self._steering.steered(demands, now_s), self._rng.random()
+        )
+
     def _register_gauges(self) -> None:
         metrics = self._metrics
         metrics.add_gauge("store_calls", lambda: self._store.calls)
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -100,6 +100,22 @@
             service, self.placer.queue(service).length, now_s
         )
 
+    def local_demand_slots(self, service: str, now_s: float) -> float:
+        """Returns the slots that the data centre's requests need on average.
+
+        Args:
+            service: Name of the service.
+            now_s: Clock time in seconds.
+        """
+        place = self.roster.own.data_centre
+        loads = [self.own_load(service, now_s)]
+        loads += [
+            load
+            for name, load in self.peer_loads.loads(service, now_s)
+            if name == place
+        ]
+        return sum(load.demand_per_s * load.work_s for load in loads)
+
     def allowance(self, service: str) -> repeat_budget.RepeatBudget:
         """Returns the retry budget of a service, created on first use."""
         allowance = self._repeat_budgets.get(service)
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from magnoliacrank.platform import wire_values
+from magnoliacrank.policy import caller_steering
 from magnoliacrank.policy import peer_status
 from magnoliacrank.policy import service_load
 
@@ -33,6 +34,11 @@
 """Fields of `service_load.ServiceLoad`, in the order of their definition."""
 
 
+SteeringRow = tuple[str, str, float]
+"""Fields of `caller_steering.LastingShare`, in the order of their
+definition."""
+
+
 RolloutStateName = Literal["running", "completed", "rolled_back"]
 """Value of `orders.RolloutState`."""
 
@@ -119,6 +125,15 @@
     loads: list[ServiceLoadRow]
     """Load of each service that the sender has requests for."""
 
+    steering: list[SteeringRow] = msgspec.field(default_factory=list)
+    """Shares of requests for which the sender's data centre lastingly lacks
+    servers."""
+
+    @property
+    def lasting_shares(self) -> list[caller_steering.LastingShare]:
+        """Shares for which the sender's data centre lastingly lacks servers."""
+        return [caller_steering.LastingShare(*row) for row in self.steering]
+
     @property
     def service_loads(self) -> list[service_load.ServiceLoad]:
         """Load of each service that the sender has requests for."""
--- a/packages/entry/src/magnoliacrank/entry/service_handlers.py
+++ b/packages/entry/src/magnoliacrank/entry/service_handlers.py
@@ -12,6 +12,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Mapping
 
     from magnoliacrank.entry import entry_metrics
     from magnoliacrank.entry import rollout_controller
@@ -62,6 +64,8 @@
         view: Configuration and registered servers.
         front_port: Port for requests, the same on all instances.
         ttl_s: Seconds for which callers may cache the answer.
+        steered: Returns the data centre that a look-up of callers of this one
+            is steered to, if any, by the services that they use.
         clock: Returns the monotonic time in seconds.
     """
 
@@ -71,8 +75,10 @@
         view: site_view.SiteView,
         front_port: int,
         ttl_s: float,
+        steered: Callable[[Collection[str]], str | None],
         clock: Callable[[], float],
     ) -> None:
+        self._steered = steered
         self._roster = roster
         self._view = view
         self._front_port = front_port
@@ -111,7 +117,21 @@
             service: self._view.serving_data_centres(service)
             for service in services
         }
-        return caller_steering.data_centres_for(data_centre, services, places)
+        found = caller_steering.data_centres_for(data_centre, services, places)
+        if found != [self._roster.own.data_centre]:
+            return found
+        steered = self._steered(services)
+        if steered is None or not self._can_serve(steered, places):
+            return found
+        return [steered]
+
+    def _can_serve(
+        self, data_centre: str, places: Mapping[str, set[str]]
+    ) -> bool:
+        """Whether a data centre has a crew, and servers of all services."""
+        return bool(self._roster.crew(data_centre, self._clock())) and all(
+            data_centre in found for found in places.values()
+        )
 
 
 class PeerHandler:
--- a/packages/entry/src/magnoliacrank/entry/spillover_control.py
+++ b/packages/entry/src/magnoliacrank/entry/spillover_control.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from magnoliacrank.policy import caller_steering
 from magnoliacrank.policy import crowding
 from magnoliacrank.policy import placement
 from magnoliacrank.policy import round_trips
@@ -35,6 +36,11 @@
 """Local servers that are probed before remote ones: all rounds of a search but
 the last."""
 
+_MAX_STEERING_DISTANCE = 0.1
+"""Additional round trip, as a share of the execution time, up to which callers
+are steered to a data centre. They stay for seconds and in sum pay it oftener
+than the requests that are forwarded."""
+
 _LOGGED_CHANGE = 0.1
 """Change of a share from which on it is logged."""
 
@@ -110,6 +116,7 @@
         self._data_centre = roster.own.data_centre
         self._round_trips = round_trips.RoundTrips()
         self._services: dict[str, _Service] = {}
+        self.lasting_shares = caller_steering.LastingShares()
 
     def arrange(
         self,
@@ -222,6 +229,13 @@
         if state.plan is not None and work_s:
             part = own.demand_per_s / local_per_s if local_per_s else 1.0
             state.budget.set_rate(part * state.plan.limit_slots / work_s, now_s)
+        shares = {} if state.plan is None else state.plan.shares
+        near = {
+            place: share
+            for place, share in shares.items()
+            if self._distance_s(place) <= _MAX_STEERING_DISTANCE * work_s
+        }
+        self.lasting_shares.update(service, near, now_s)
         self._report(service, state)
 
     def _balances(
--- a/packages/entry/tests/test_directory.py
+++ b/packages/entry/tests/test_directory.py
@@ -47,3 +47,27 @@
     plan = instance._view.plan
     rule = plan.find_route("site.example", "/read/1")
     assert instance._state.expected_answer_bytes(rule) == len("s1")
+
+
+async def test_part_of_the_callers_is_steered_during_a_lasting_shortage(site):
+    """Followers hear of it by heartbeats, as they don't hear from afar."""
+    await site.add_backend("s1", data_centre="a")
+    await site.add_backend("s2", data_centre="b")
+    await site.add_instance(1, "a")
+    await site.add_instance(2, "b")
+    await site.ready()
+    instance = site.instances[0]
+    await site.until(
+        lambda: len(instance._roster.ready_instances(instance._clock())) == 2
+    )
+    await site.request()
+    shares = instance._spillover.lasting_shares
+    now_s = instance._clock()
+    (service,) = instance._view.plan.services_of("site.example")
+    for step in range(1, 200):
+        shares.update(service, {"b": 1.0}, now_s + step * 0.5)
+    instance.next_heartbeat()
+    found = [await _addresses(site, "a") for _ in range(60)]
+    assert ["127.0.0.2"] in found
+    assert ["127.0.0.1"] in found
+    assert await _addresses(site, "b") == ["127.0.0.2"]
--- a/packages/policy/src/magnoliacrank/policy/spillover.py
+++ b/packages/policy/src/magnoliacrank/policy/spillover.py
@@ -65,6 +65,9 @@
     share: float
     """Share of its requests, from 0 to 1, for which it lacks servers."""
 
+    shares: Mapping[str, float]
+    """Parts of `share` that go to each of the other data centres."""
+
     room_slots: Mapping[str, float]
     """Slots that it may use in each of the other data centres; those without
     room are missing."""
@@ -240,7 +243,7 @@
         self._is_short = share > (0.0 if self._is_short else _ENTER_SHARE)
         self._follow(share if self._is_short else 0.0, now_s)
         planned_slots = self._share * demand_slots
-        room_slots = {}
+        room_slots, shares = {}, {}
         for name, slots in market.momentary_spares().items():
             if name == self._own:
                 continue
@@ -251,7 +254,9 @@
             found = planned_slots * part + rest_slots / (len(balances) - 1)
             if found > 0:
                 room_slots[name] = found
-        return Plan(self._share, room_slots)
+            if part and self._share:
+                shares[name] = self._share * part
+        return Plan(self._share, shares, room_slots)
 
     def _follow(self, share: float, now_s: float) -> None:
         """Moves the share towards a new value."""
