--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -72,6 +72,7 @@
         self.usage = usage
         self.crashes = crash_register.CrashRegister()
         self.plan: route_plan.RoutePlan | None = None
+        self.highest_priority = 0
         self.returns = return_register.ReturnRegister()
         self.load_meter = service_load.ServiceLoadMeter()
         self.peer_loads = service_load.ServiceLoadRegister()
@@ -87,6 +88,7 @@
     def on_plan(self, plan: route_plan.RoutePlan) -> None:
         """Takes over a configuration that came into force."""
         self.plan = plan
+        self.highest_priority = plan.highest_priority
 
     def access(
         self, rule: route_plan.RouteRule, api_key: str | None
@@ -107,7 +109,7 @@
             now_s: Clock time in seconds.
         """
         loads = (
-            self._own_load(service, now_s)
+            self.own_load(service, now_s)
             for service in self.load_meter.services()
         )
         return [load for load in loads if load.demand_per_s or load.waiting]
@@ -123,7 +125,7 @@
         for service in self.load_meter.services():
             others = self.peer_loads.loads(service, now_s)
             self.placer.agree(
-                self._own_load(service, now_s),
+                self.own_load(service, now_s),
                 [load for _, load in others],
                 now_s,
             )
@@ -139,6 +141,36 @@
             default=service_load.LOWEST_PRIORITY,
         )
 
+    def own_load(self, service: str, now_s: float) -> service_load.ServiceLoad:
+        """Returns the load of a service at this instance.
+
+        Args:
+            service: Name of the service.
+            now_s: Clock time in seconds.
+        """
+        return self.load_meter.load(
+            service,
+            self.placer.queue(service).length,
+            now_s,
+            self.placer.level(service).own_level(now_s),
+        )
+
+    def local_demand_slots(self, service: str, now_s: float) -> float:
+        """Returns the slots that the data centre's requests need on average.
+
+        Args:
+            service: Name of the service.
+            now_s: Clock time in seconds.
+        """
+        place = self.roster.own.data_centre
+        loads = [self.own_load(service, now_s)]
+        loads += [
+            load
+            for name, load in self.peer_loads.loads(service, now_s)
+            if name == place
+        ]
+        return sum(load.demand_per_s * load.work_s for load in loads)
+
     def allowance(self, service: str) -> repeat_budget.RepeatBudget:
         """Returns the retry budget of a service, created on first use."""
         allowance = self._repeat_budgets.get(service)
@@ -238,14 +270,6 @@
             self._cursors[rule.name] = cursor
         return cursor.next_service()
 
-    def _own_load(self, service: str, now_s: float) -> service_load.ServiceLoad:
-        return self.load_meter.load(
-            service,
-            self.placer.queue(service).length,
-            now_s,
-            self.placer.level(service).own_level(now_s),
-        )
-
     def _timeouts_of(
         self, rule: route_plan.RouteRule
     ) -> stated_timeouts.StatedTimeouts:
