--- a/packages/entry/src/magnoliacrank/entry/backend_table.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_table.py
@@ -21,6 +21,8 @@
     from magnoliacrank.entry import event_log
     from magnoliacrank.policy import transfer_budget
 
+FailureKind = exchange_failure.FailureKind
+
 PROBE_TIMEOUT_S = 0.25
 """Timeout of a health request; a server that exceeds it counts as silent."""
 
@@ -73,6 +75,9 @@
     in_flight: int = 0
     """Requests that this instance has sent and that have not ended."""
 
+    last_dispatch_s: float = float("-inf")
+    """Time of the latest dispatch."""
+
     in_flight_bytes: int = 0
     """Size of the bodies of these requests."""
 
@@ -94,6 +99,7 @@
             body_bytes: Size of the request's body.
         """
         self.in_flight += 1
+        self.last_dispatch_s = now_s
         self.in_flight_bytes += body_bytes
         self.dispatch_times_s.append(now_s)
         del self.dispatch_times_s[:-_MAX_DISPATCH_TIMES]
@@ -234,13 +240,15 @@
         return backend
 
     async def probe(
-        self, backend: Backend, health_path: str
+        self, backend: Backend, health_path: str, *, may_queue: bool = False
     ) -> backend_entry.HealthReport | None:
         """Sends a health request to a server and records its load report.
 
         Args:
             backend: The server.
             health_path: Path of the health request.
+            may_queue: Whether the server is known to let health requests wait
+                for a slot, so that a late answer is no sign of a failure.
 
         Returns:
             The report, or None if the request failed or another server
@@ -256,6 +264,8 @@
         )
         now_s = self._clock()
         if isinstance(answer, exchange_failure.ExchangeFailure):
+            if may_queue and answer.kind is FailureKind.TIMEOUT:
+                return None
             if not backend.health.is_unresponsive(now_s):
                 self._log.event(
                     "server silent",
@@ -276,10 +286,9 @@
     def _update_entry(
         self, backend: Backend, entry: backend_entry.BackendEntry
     ) -> None:
-        if entry.warmup_left_s > backend.entry.warmup_left_s:
-            backend.cold_until_s = max(
-                backend.cold_until_s, self._cold_until_s(entry)
-            )
+        backend.cold_until_s = max(
+            backend.cold_until_s, self._cold_until_s(entry)
+        )
         backend.entry = entry
 
     def _cold_until_s(self, entry: backend_entry.BackendEntry) -> float:
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -299,6 +299,14 @@
             refusal = refusals.of_result(
                 result, job, self._state.clock(), is_denied=is_denied
             )
+            if result.verdict is Verdict.NOT_RUN:
+                self._state.returns.on_refused(
+                    job.fingerprint, self._state.clock()
+                )
+            if result.decision is not None:
+                self._state.metrics.on_rejection(
+                    job.service, job.priority, result.decision.cause_code
+                )
             await self._refuse(exchange, refusal, job.rule, job.trace)
             return
         duration_s = self._state.clock() - job.arrived_s
@@ -376,6 +384,7 @@
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
             duration_s=round(duration_s, 4),
+            **refusal.fields,
             spans=trace.fields,
         )
         fields = [("Content-Type", "application/json")]
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -25,6 +25,7 @@
 from magnoliacrank.entry import service_handlers
 from magnoliacrank.entry import site_reader
 from magnoliacrank.entry import site_view
+from magnoliacrank.entry import usage_duty
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
@@ -133,6 +134,17 @@
             clock,
             rng,
         )
+        self._usage = usage_duty.UsageDuty(
+            settings,
+            self._incarnation,
+            self._store,
+            self._roster,
+            self._protocol.knows_mesh,
+            self._peers,
+            self.log,
+            clock,
+            rng,
+        )
         self._state = entry_state.EntryState(
             clock,
             self.log,
@@ -140,6 +152,7 @@
             self._roster,
             self._placer,
             self._trials,
+            self._usage.counter,
             bounds,
             rng,
         )
@@ -208,6 +221,7 @@
         await self._reader.start()
         await self._announcer.start()
         await self._trials.start()
+        await self._usage.start()
 
     async def _listen(
         self, server: front_server.FrontServer, address: tuple[str, int]
@@ -241,6 +255,7 @@
         await self._front.close(max(grace_s, 0.0))
         for server, _ in self._servers:
             await server.close(0.0)
+        await self._usage.close()
         await self._announcer.close()
         await self._trials.close()
         await self._reader.close()
@@ -259,14 +274,16 @@
             is_mesh_member=self._protocol.is_member(now_s),
         )
         self._roster.set_own(fact)
+        self._state.agree_levels(now_s)
         view = self._view
+        operators_mark, servers_mark = view.offsets
         return heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=attrs.astuple(fact),
             mesh_mark=self._protocol.mark(now_s),
             lost=self._roster.lost(now_s),
-            operators_mark=view.operators.mark,
-            servers_mark=view.servers.mark,
+            operators_mark=operators_mark,
+            servers_mark=servers_mark,
             verified_age_ms=service_handlers.verified_age_ms(
                 self._reader, now_s
             ),
@@ -274,10 +291,11 @@
             crashes=self._state.crashes.recent_own_counts(now_s),
             blocked=self._state.crashes.blocked(now_s),
             time_ms=time.time_ns() // 1_000_000,
-            store_era=self._store.era or 0,
+            store_era=view.era,
             loads=[
                 attrs.astuple(load) for load in self._state.own_loads(now_s)
             ],
+            held=len(view.operators.held) + len(view.servers.held),
         )
 
     def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
@@ -286,6 +304,7 @@
         fact = beat.fact
         self._reader.on_heartbeat(fact, beat)
         self._trials.on_heartbeat(fact, beat)
+        self._usage.counter.on_peer_time(fact.node, beat.time_ms)
         self._state.peer_loads.on_report(
             fact.node, fact.data_centre, beat.service_loads, now_s
         )
@@ -362,6 +381,7 @@
             self._view,
             self._reader,
             self._trials,
+            self._usage,
             self._metrics,
             self._clock,
         )
@@ -395,11 +415,14 @@
         metrics.add_gauge(
             "connections_opened", lambda: self._table.connections_opened
         )
+        self._usage.add_gauges(metrics)
         metrics.add_gauge("log_lines_dropped", lambda: self.log.dropped_lines)
         metrics.add_gauge(
             "task_failures",
             lambda: self.log.warning_count(owned_task.FAILURE_EVENT),
         )
+        metrics.add_gauge("admitted_priority", self._state.admitted_priority)
+        metrics.add_gauge("store_rewinds", lambda: self._reader.rewinds)
         metrics.add_gauge("read_errors", lambda: self._reader.read_errors)
         metrics.add_gauge(
             "unreadable_records", lambda: self._view.unreadable_records
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -114,11 +114,16 @@
     """Unix time in milliseconds by the sender's clock."""
 
     store_era: Count
-    """Newest era of the store that the sender knows; 0 for none."""
+    """Era of the store that the sender's records and their offsets belong to;
+    0 for none."""
 
     loads: list[ServiceLoadRow]
     """Load of each service that the sender has requests for."""
 
+    held: Count = 0
+    """Number of records of the store's era that the sender doesn't use yet,
+    since it retains others that the store may have lost."""
+
     @property
     def service_loads(self) -> list[service_load.ServiceLoad]:
         """Load of each service that the sender has requests for."""
--- a/packages/entry/src/magnoliacrank/entry/placement_request.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Callable
 import enum
+import math
 
 import attrs
 
+from magnoliacrank.policy import wait_policy
+
 
 class RejectionReason(enum.Enum):
     """Why the placer found no backend server for a request."""
@@ -28,6 +31,9 @@
     retry_after_s: float
     """Seconds after which a retry is expected to find a server."""
 
+    decision: wait_policy.Decision | None = None
+    """What decided; None without a known server."""
+
 
 @attrs.frozen
 class PlacementRequest:
@@ -68,6 +74,9 @@
     """Clock time in seconds up to which an answer meets the latency
     objective."""
 
+    deadline_s: float = math.inf
+    """Clock time in seconds until which the caller waits for an answer."""
+
     body_bytes: int = 0
     """Size of its body."""
 
--- a/packages/entry/src/magnoliacrank/entry/refusal.py
+++ b/packages/entry/src/magnoliacrank/entry/refusal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 import attrs
 
@@ -36,6 +37,9 @@
     retry_after_s: float | None = None
     """Seconds after which the caller may retry; None states nothing."""
 
+    fields: dict[str, Any] = attrs.field(factory=dict)
+    """Further fields of its log line."""
+
 
 def of_body(
     body: bytes | bodies.BodyTooLarge | bodies.BodyFailure,
@@ -67,10 +71,31 @@
         now_s: Clock time in seconds.
         is_denied: Whether the caller lost its access while it waited.
     """
+    shown = _decision_fields(result, job)
     if result.verdict is Verdict.NOT_RUN:
         if is_denied:
             return Refusal(UNAUTHORIZED, result.reason)
-        return Refusal(503, result.reason, result.retry_after_s)
+        return Refusal(503, result.reason, result.retry_after_s, shown)
     # The request may have run, so the status must not promise that it didn't.
     status = 504 if now_s >= job.deadline_s else 502
-    return Refusal(status, result.reason)
+    return Refusal(status, result.reason, fields=shown)
+
+
+def _decision_fields(
+    result: request_carrier.RequestResult, job: jobs.Job
+) -> dict[str, Any]:
+    """Returns what decided on a request, as fields of its log line."""
+    shown: dict[str, Any] = {
+        "service": job.service,
+        "priority": job.priority,
+        "customer": job.customer,
+    }
+    decision = result.decision
+    if decision is None:
+        return shown | {"decided_by": result.end or result.reason}
+    return shown | {
+        "decided_by": decision.cause_code,
+        "ahead": decision.ahead,
+        "wait_s": round(decision.wait_s, 4),
+        "left_s": round(decision.left_s, 4),
+    }
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -21,6 +21,7 @@
 from magnoliacrank.policy import caller_access
 from magnoliacrank.policy import repeat_budget
 from magnoliacrank.policy import version_trial
+from magnoliacrank.policy import wait_policy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,6 +70,13 @@
     retry_after_s: float = 0.0
     """Seconds after which the caller should retry."""
 
+    decision: wait_policy.Decision | None = None
+    """What decided on its last placement, if that was rejected."""
+
+    end: str = ""
+    """Short code of why it isn't sent to another server; empty if it was
+    answered or never sent."""
+
 
 class RequestCarrier:
     """Forwards one request to backend servers; an object serves one request.
@@ -90,8 +98,10 @@
         self._may_have_run = False
         self._failure_answer: backend_link.WholeAnswer | None = None
         self._reason = "no-server"
+        self._end = ""
         self._to_new_version = False
         self._load_test: int | None = None
+        self._has_returned = False
 
     @property
     def is_denied(self) -> bool:
@@ -114,7 +124,10 @@
         """Forwards the request, with retries, and returns the final result."""
         state = self._state
         allowance = state.allowance(self._job.service)
-        allowance.on_request(self._clock())
+        allowance.on_request(self._clock(), self._job.priority)
+        self._has_returned = self._job.asked_s < self._job.arrived_s
+        if state.returns.take(self._job.fingerprint, self._clock()):
+            self._has_returned = True
         state.load_meter.on_arrival(
             self._job.service, state.work_s(self._job.rule), self._clock()
         )
@@ -134,12 +147,14 @@
         if isinstance(found, placement_requests.Rejection):
             trace.end(placing, found.reason.value)
             self._state.load_meter.on_rejected(self._job.service, self._clock())
+            self._end = found.reason.value
             if self.has_been_sent or self._refusals:
-                return self._final_result(found.retry_after_s)
+                return self._final_result(found.retry_after_s, found.decision)
             return RequestResult(
                 Verdict.NOT_RUN,
                 found.reason.value,
                 retry_after_s=found.retry_after_s,
+                decision=found.decision,
             )
         trace.end(placing, "found")
         self._state.load_meter.on_placed(self._job.service, self._clock())
@@ -170,15 +185,20 @@
             return False
         now_s = self._clock()
         ran = self._may_have_run or self._failure_answer is not None
-        if ran and not job.is_idempotent:
-            return False
-        if self._sent_count >= job.rule.max_attempts and ran:
-            return False
-        if self._refusals > _MAX_REFUSALS or now_s >= job.deadline_s:
-            return False
-        if self._state.crashes.is_blocked(job.fingerprint, now_s):
-            return False
-        return self._take_retry()
+        obstacles = {
+            "not-idempotent": ran and not job.is_idempotent,
+            "attempts": ran and self._sent_count >= job.rule.max_attempts,
+            "refusals": self._refusals > _MAX_REFUSALS,
+            "deadline": now_s >= job.deadline_s,
+            "crashes-servers": self._state.crashes.is_blocked(
+                job.fingerprint, now_s
+            ),
+        }
+        ends = [end for end, applies in obstacles.items() if applies]
+        if not ends and not self._take_retry():
+            ends = ["retry-budget"]
+        self._end = ends[0] if ends else ""
+        return not ends
 
     def _check_access(self) -> caller_access.Grant | None:
         """Decides access anew, since the configuration may have changed.
@@ -195,21 +215,36 @@
 
     def _take_retry(self) -> bool:
         job = self._job
-        is_first = job.priority <= self._state.highest_priority
-        urgency = Urgency.FIRST if is_first else Urgency.NORMAL
-        return self._state.try_retry(job.service, urgency)
+        now_s = self._clock()
+        urgency = Urgency.NORMAL
+        if now_s + self._state.work_s(job.rule) > job.objective_s:
+            urgency = Urgency.LATE
+        elif self._has_returned:
+            urgency = Urgency.RETURNED
+        return self._state.try_retry(job.service, urgency, job.priority)
 
     def _final_result(
-        self, retry_after_s: float = _REFUSED_RETRY_AFTER_S
+        self,
+        retry_after_s: float = _REFUSED_RETRY_AFTER_S,
+        decision: wait_policy.Decision | None = None,
     ) -> RequestResult:
         if self._failure_answer is not None:
             return RequestResult(
-                Verdict.FAILED, self._reason, self._failure_answer
+                Verdict.FAILED,
+                self._reason,
+                self._failure_answer,
+                end=self._end,
             )
         if self._may_have_run:
-            return RequestResult(Verdict.MAY_HAVE_RUN, self._reason)
+            return RequestResult(
+                Verdict.MAY_HAVE_RUN, self._reason, end=self._end
+            )
         return RequestResult(
-            Verdict.NOT_RUN, self._reason, retry_after_s=retry_after_s
+            Verdict.NOT_RUN,
+            self._reason,
+            retry_after_s=retry_after_s,
+            decision=decision,
+            end=self._end,
         )
 
     def _chooses_new_version(self) -> bool:
@@ -219,7 +254,7 @@
         now_s = self._clock()
         crew = len(self._state.roster.all_crews(now_s))
         self._load_test = trial.load_test(now_s)
-        return trial.wants_request(now_s, crew)
+        return trial.wants_request(now_s, crew, self._job.rule.name)
 
     async def _place(
         self,
@@ -273,6 +308,7 @@
             wants_new_version=wants_new_version,
             work_s=work_s,
             objective_s=job.objective_s,
+            deadline_s=job.deadline_s,
             server_order=server_order,
         )
 
@@ -354,7 +390,9 @@
         )
         if isinstance(found, placement_requests.Rejection):
             return None
-        if not self._state.try_retry(self._job.service, Urgency.HEDGE):
+        if not self._state.try_retry(
+            self._job.service, Urgency.HEDGE, self._job.priority
+        ):
             self._on_finished(found)
             return None
         return found
