--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -184,7 +184,7 @@
         return (
             backend in self._candidates(request)
             and self._best_good_backend(request, [backend]) is not None
-            and self._try_confirm(backend)
+            and self._try_confirm(request, backend)
         )
 
     async def _find_backend(
