Keep counts and reports for as many windows as may be due

Six windows and eight records were enough for 5 s windows that are due after 10 s; with shorter windows, counts would have been dropped and records overwritten while they were due. The number follows from the settings now.

--- a/packages/entry/src/magnoliacrank/entry/duty_topic.py
+++ b/packages/entry/src/magnoliacrank/entry/duty_topic.py
@@ -32,6 +32,7 @@
     Args:
         store: Client of the store.
         lease: Lease of the duty.
+        kept_windows: Number of windows whose reports are kept.
         clock: Returns the monotonic time in seconds, which also passes while
             the machine is suspended.
         log: Log for failed calls.
@@ -41,11 +42,13 @@
         self,
         store: store_client.StoreClient,
         lease: duty_lease.DutyLease,
+        kept_windows: int,
         clock: Callable[[], float],
         log: event_log.EventLog,
     ) -> None:
         self._store = store
         self._lease = lease
+        self._kept_windows = kept_windows
         self._clock = clock
         self._log = log
         self._backoff = backoff.Backoff(_INITIAL_BACKOFF_S, _MAX_BACKOFF_S)
@@ -134,7 +137,7 @@
         if window in self.reports and window in self._stored:
             return True
         is_written = await self._write(
-            usage_messages.report_key(window),
+            usage_messages.report_key(window, self._kept_windows),
             usage_messages.encode_report(window, content),
         )
         if is_written:
@@ -204,7 +207,7 @@
 
     def _drop_old_reports(self) -> None:
         newest = max(self.reports, default=0)
-        first = newest - usage_messages.REPORT_KEYS + 1
+        first = newest - self._kept_windows + 1
         self.reports = {
             window: content
             for window, content in self.reports.items()
--- a/packages/entry/src/magnoliacrank/entry/usage_counter.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_counter.py
@@ -35,7 +35,8 @@
     ) -> None:
         self.window_s = window_s
         self.late_s = late_s
-        self.meter = usage_windows.UsageMeter()
+        self.kept_windows = usage_windows.windows_to_keep(window_s, late_s)
+        self.meter = usage_windows.UsageMeter(self.kept_windows)
         self.clock = clock
         self._is_enabled = is_enabled
         self._time_of_day = time_of_day
--- a/packages/entry/src/magnoliacrank/entry/usage_duty.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_duty.py
@@ -70,7 +70,7 @@
             clock,
             is_enabled=is_enabled(settings),
         )
-        self._ledger = usage_windows.UsageLedger()
+        self._ledger = usage_windows.UsageLedger(self.counter.kept_windows)
         self._client: usage_client.UsageClient | None = None
         self._sender: usage_sender.UsageSender | None = None
         self._outbox: usage_outbox.UsageOutbox | None = None
@@ -89,7 +89,9 @@
         )
         self._client = usage_client.UsageClient(cloud.address)
         lease = duty_lease.DutyLease(settings.node, bounds.lease_s)
-        topic = duty_topic.DutyTopic(store, lease, clock, log)
+        topic = duty_topic.DutyTopic(
+            store, lease, self.counter.kept_windows, clock, log
+        )
         outbox = usage_outbox.UsageOutbox(
             settings.node,
             cloud.duty_calls_per_s,
--- a/packages/entry/src/magnoliacrank/entry/usage_messages.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_messages.py
@@ -21,10 +21,6 @@
 REPORT_KEY_PREFIX = "report/"
 """Prefix of the keys of the records with reports."""
 
-REPORT_KEYS = 8
-"""Number of keys for reports; a later window reuses the key of an earlier
-one, so that the topic stays small."""
-
 _CountsRow = tuple[
     heartbeat.Count, heartbeat.Count, bool, dict[str, heartbeat.Count]
 ]
@@ -121,9 +117,17 @@
     return duty_lease.DutyRecord(found.holder, found.token, found.era)
 
 
-def report_key(window: int) -> str:
-    """Returns the key of the record of a window."""
-    return f"{REPORT_KEY_PREFIX}{window % REPORT_KEYS}"
+def report_key(window: int, kept_windows: int) -> str:
+    """Returns the key of the record of a window.
+
+    A later window reuses the key of an earlier one, so that the topic stays
+    small.
+
+    Args:
+        window: Number of the window.
+        kept_windows: Number of windows whose records are kept.
+    """
+    return f"{REPORT_KEY_PREFIX}{window % kept_windows}"
 
 
 def encode_report(window: int, content: str | None) -> bytes:
--- a/packages/policy/src/magnoliacrank/policy/usage_windows.py
+++ b/packages/policy/src/magnoliacrank/policy/usage_windows.py
@@ -21,8 +21,19 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-MAX_WINDOWS = 6
-"""Number of windows whose counts are kept, the current one included."""
+_SPARE_WINDOWS = 4
+"""Windows that are kept beyond those that may be due: the current one, the one
+that has just ended, and two for instances whose time differs."""
+
+
+def windows_to_keep(window_s: float, late_s: float) -> int:
+    """Returns the number of windows to remember, the current one included.
+
+    Args:
+        window_s: Length of a window in seconds.
+        late_s: Seconds after the end of a window until which it is due.
+    """
+    return math.ceil(late_s / window_s) + _SPARE_WINDOWS
 
 
 def window_at(unix_s: float, window_s: float) -> int:
@@ -69,9 +80,13 @@
     A request is counted when it is sent and withdrawn if the server states that
     it did not run it. Thus requests that still run when a window ends are in
     its counts.
+
+    Args:
+        kept_windows: Number of windows to remember, the current one included.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, kept_windows: int) -> None:
+        self._kept_windows = kept_windows
         self._windows: dict[int, collections.Counter[str]] = {}
         self._revisions: dict[int, int] = {}
 
@@ -84,7 +99,7 @@
         """
         if window not in self._windows:
             self._windows[window] = collections.Counter()
-            for old in sorted(self._windows)[:-MAX_WINDOWS]:
+            for old in sorted(self._windows)[: -self._kept_windows]:
                 del self._windows[old]
                 self._revisions.pop(old, None)
         self._change(customer, window, 1)
@@ -108,7 +123,7 @@
         Args:
             current: Number of the current window.
         """
-        recent = range(current - MAX_WINDOWS + 1, current + 1)
+        recent = range(current - self._kept_windows + 1, current + 1)
         return [
             WindowCounts(
                 window,
@@ -131,9 +146,14 @@
 
 
 class UsageLedger:
-    """Merged counts of all instances, by window."""
+    """Merged counts of all instances, by window.
+
+    Args:
+        kept_windows: Number of windows to remember, the current one included.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, kept_windows: int) -> None:
+        self._kept_windows = kept_windows
         self._windows: dict[int, dict[Source, WindowCounts]] = {}
 
     @property
@@ -149,11 +169,11 @@
             counts: Its counts so far.
             current: Number of the current window.
         """
-        if not current - MAX_WINDOWS < counts.window <= current + 1:
+        oldest = current - self._kept_windows + 1
+        if not oldest <= counts.window <= current + 1:
             return
-        for old in [number for number in self._windows if number <= current]:
-            if old <= current - MAX_WINDOWS:
-                del self._windows[old]
+        for old in [number for number in self._windows if number < oldest]:
+            del self._windows[old]
         sources = self._windows.setdefault(counts.window, {})
         known = sources.get(source)
         if known is None or (counts.revision, counts.is_final) > (
