--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -25,18 +25,21 @@
 from magnoliacrank.entry import service_handlers
 from magnoliacrank.entry import site_reader
 from magnoliacrank.entry import site_view
+from magnoliacrank.entry import spillover_control
 from magnoliacrank.entry import usage_duty
-from magnoliacrank.gateway import answer_memory
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
+from magnoliacrank.policy import caller_steering
 from magnoliacrank.policy import instance_roster
 from magnoliacrank.policy import mesh_protocol
 from magnoliacrank.policy import peer_status
 from magnoliacrank.policy import record_sources
 from magnoliacrank.policy import site_mesh
+from magnoliacrank.policy import transfer_budget
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
     import socket
 
@@ -56,14 +59,6 @@
 _EXIT_MARGIN_S = 0.6
 """Time reserved between the end of serving and the kill by the platform."""
 
-_BODY_MEMORY_SHARE = 0.2
-"""Share of the process's memory for request bodies. Each body is in memory up
-to three times: as read, as encoded for a server, and in the socket's buffer."""
-
-_ANSWER_MEMORY_SHARE = 0.1
-"""Share of the process's memory for answers. Each answer is in memory up to
-twice: in chunks and joined."""
-
 _PROBE_SHARE = 0.8
 """Share of the operators' bound on health requests that is used."""
 
@@ -87,6 +82,7 @@
         clock = clocks.boot_time_s
         bounds = settings.bounds
         rng = random.Random()
+        self._rng = rng
         self._settings = settings
         self._listeners = dict(listeners or {})
         self._clock = clock
@@ -125,8 +121,9 @@
             self.log,
             clock,
         )
-        answers = answer_memory.AnswerMemory(
-            int(settings.memory_mb * 1e6 * _ANSWER_MEMORY_SHARE)
+        memory_bytes = settings.memory_mb * 1e6
+        answers = transfer_budget.TransferBudget(
+            int(memory_bytes * transfer_budget.ANSWER_MEMORY_SHARE)
         )
         self._table = backend_table.BackendTable(
             self.log, clock, self._probe_rate_per_s, answers
@@ -163,6 +160,19 @@
             bounds,
             rng,
         )
+        self._spillover = spillover_control.SpilloverControl(
+            self._view,
+            self._table,
+            self._roster,
+            self._state,
+            self._placer.crowding_of,
+            self.log,
+            self._metrics,
+            clock,
+            rng,
+        )
+        self._placer.set_spillover(self._spillover)
+        self._steering = caller_steering.StatedShares()
         self._link = heartbeat_link.HeartbeatLink(
             settings.ip,
             settings.peer_port,
@@ -181,7 +191,9 @@
                 self._state,
                 self._view,
                 self._reader,
-                int(settings.memory_mb * 1e6 * _BODY_MEMORY_SHARE),
+                int(
+                    settings.memory_mb * 1e6 * transfer_budget.BODY_MEMORY_SHARE
+                ),
                 answers,
             ),
             limits,
@@ -281,13 +293,16 @@
         self._roster.set_own(fact)
         self._state.agree_levels(now_s)
         view = self._view
+        operators_mark, servers_mark = view.offsets
+        shares = self._spillover.lasting_shares.stated(now_s)
+        self._steering.on_report(fact.node, shares, now_s)
         return heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=attrs.astuple(fact),
             mesh_mark=self._protocol.mark(now_s),
             lost=self._roster.lost(now_s),
-            operators_mark=view.operators.mark,
-            servers_mark=view.servers.mark,
+            operators_mark=operators_mark,
+            servers_mark=servers_mark,
             verified_age_ms=service_handlers.verified_age_ms(
                 self._reader, now_s
             ),
@@ -295,10 +310,12 @@
             crashes=self._state.crashes.recent_own_counts(now_s),
             blocked=self._state.crashes.blocked(now_s),
             time_ms=time.time_ns() // 1_000_000,
-            store_era=self._store.era or 0,
+            store_era=view.era,
             loads=[
                 attrs.astuple(load) for load in self._state.own_loads(now_s)
             ],
+            held=len(view.operators.held) + len(view.servers.held),
+            steering=[attrs.astuple(share) for share in shares],
         )
 
     def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
@@ -311,6 +328,8 @@
         self._state.peer_loads.on_report(
             fact.node, fact.data_centre, beat.service_loads, now_s
         )
+        if fact.data_centre == self._settings.data_centre:
+            self._steering.on_report(fact.node, beat.lasting_shares, now_s)
         self._state.crashes.update_peer_counts(fact.node, beat.crashes, now_s)
         if self._roster.is_follower(now_s):
             self._state.crashes.apply_peer_blocks(beat.blocked, now_s)
@@ -401,6 +420,7 @@
                 self._view,
                 settings.front[1],
                 min(_DIRECTORY_TTL_S, settings.bounds.directory_ttl_s),
+                self._steered,
                 self._clock,
             )
             servers.append(
@@ -411,6 +431,21 @@
             )
         return servers
 
+    def _steered(self, services: Collection[str]) -> str | None:
+        """Returns the data centre for one look-up of callers nearby.
+
+        Args:
+            services: Services that they use.
+        """
+        now_s = self._clock()
+        demands = {
+            service: self._state.local_demand_slots(service, now_s)
+            for service in services
+        }
+        return caller_steering.steered_data_centre(
+            self._steering.steered(demands, now_s), self._rng.random()
+        )
+
     def _register_gauges(self) -> None:
         metrics = self._metrics
         metrics.add_gauge("store_calls", lambda: self._store.calls)
@@ -425,6 +460,7 @@
             lambda: self.log.warning_count(owned_task.FAILURE_EVENT),
         )
         metrics.add_gauge("admitted_priority", self._state.admitted_priority)
+        metrics.add_gauge("store_rewinds", lambda: self._reader.rewinds)
         metrics.add_gauge("read_errors", lambda: self._reader.read_errors)
         metrics.add_gauge(
             "unreadable_records", lambda: self._view.unreadable_records
--- a/packages/entry/src/magnoliacrank/entry/heartbeat.py
+++ b/packages/entry/src/magnoliacrank/entry/heartbeat.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from magnoliacrank.platform import wire_values
+from magnoliacrank.policy import caller_steering
 from magnoliacrank.policy import peer_status
 from magnoliacrank.policy import service_load
 
@@ -33,6 +34,11 @@
 """Fields of `service_load.ServiceLoad`, in the order of their definition."""
 
 
+SteeringRow = tuple[str, str, float]
+"""Fields of `caller_steering.LastingShare`, in the order of their
+definition."""
+
+
 RolloutStateName = Literal["running", "completed", "rolled_back"]
 """Value of `orders.RolloutState`."""
 
@@ -114,11 +120,25 @@
     """Unix time in milliseconds by the sender's clock."""
 
     store_era: Count
-    """Newest era of the store that the sender knows; 0 for none."""
+    """Era of the store that the sender's records and their offsets belong to;
+    0 for none."""
 
     loads: list[ServiceLoadRow]
     """Load of each service that the sender has requests for."""
 
+    held: Count = 0
+    """Number of records of the store's era that the sender doesn't use yet,
+    since it retains others that the store may have lost."""
+
+    steering: list[SteeringRow] = msgspec.field(default_factory=list)
+    """Shares of requests for which the sender's data centre lastingly lacks
+    servers."""
+
+    @property
+    def lasting_shares(self) -> list[caller_steering.LastingShare]:
+        """Shares for which the sender's data centre lastingly lacks servers."""
+        return [caller_steering.LastingShare(*row) for row in self.steering]
+
     @property
     def service_loads(self) -> list[service_load.ServiceLoad]:
         """Load of each service that the sender has requests for."""
--- a/packages/entry/src/magnoliacrank/entry/placement_request.py
+++ b/packages/entry/src/magnoliacrank/entry/placement_request.py
@@ -77,6 +77,9 @@
     deadline_s: float = math.inf
     """Clock time in seconds until which the caller waits for an answer."""
 
+    body_bytes: int = 0
+    """Size of its body."""
+
     server_order: Callable[[str], int] | None = None
     """Sort key of server ids; if set, only the first server that is in good
     health may get the request."""
--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -11,6 +11,7 @@
 from magnoliacrank.entry import placement_request as placement_requests
 from magnoliacrank.policy import crowding
 from magnoliacrank.policy import placement
+from magnoliacrank.policy import transfer_budget
 from magnoliacrank.policy import warmup_check
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import site_view
+    from magnoliacrank.entry import spillover_control
     from magnoliacrank.entry import wait_queue
     from magnoliacrank.policy import admission_level
     from magnoliacrank.policy import instance_roster
@@ -94,6 +96,13 @@
         self._crowding: dict[str, crowding.Crowding] = {}
         self._without_load_reports: set[str] = set()
         self._running_probes: dict[str, asyncio.Task[None]] = {}
+        self._spillover: spillover_control.SpilloverControl | None = None
+
+    def set_spillover(
+        self, control: spillover_control.SpilloverControl
+    ) -> None:
+        """Sets what bounds the requests to other data centres."""
+        self._spillover = control
 
     def queue(self, service: str) -> wait_queue.WaitQueue:
         """Returns the wait queue of a service, created on first use."""
@@ -144,12 +153,20 @@
             )
         return await self._overload_queue(request.service).place(request)
 
-    def on_finished(self, backend: backend_table.Backend) -> None:
-        """Counts a request at a server as ended and wakes waiting requests."""
+    def on_finished(
+        self, backend: backend_table.Backend, body_bytes: int = 0
+    ) -> None:
+        """Counts a request at a server as ended and wakes waiting requests.
+
+        Args:
+            backend: The server.
+            body_bytes: Size of the request's body.
+        """
         backend.in_flight -= 1
+        backend.in_flight_bytes -= body_bytes
         queue = self._queues.get(backend.entry.service)
         if queue is not None:
-            queue.queue.on_slot_freed()
+            queue.on_slot_freed(backend)
 
     def _no_server_retry_s(self) -> float:
         return _NO_SERVER_RETRY_S * self._rng.uniform(0.6, 1.4)
@@ -158,11 +175,26 @@
         found = self._queues.get(service)
         if found is None:
             found = overload_queue.OverloadQueue(
-                self._find_backend, self._clock, self._rng
+                self._find_backend,
+                self._confirm_freed,
+                self._clock,
+                self._rng,
             )
             self._queues[service] = found
         return found
 
+    def _confirm_freed(
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
+    ) -> bool:
+        """Confirms a server that has just ended a request for another one."""
+        return (
+            backend in self._candidates(request)
+            and self._best_good_backend(request, [backend]) is not None
+            and self._try_use(request, backend)
+        )
+
     async def _find_backend(
         self, request: placement_requests.PlacementRequest
     ) -> backend_table.Backend | None:
@@ -176,13 +208,15 @@
         health_path = "/health" if service is None else service.health_path
         candidates = self._candidates(request)
         if request.service in self._without_load_reports:
-            return await self._find_by_in_flight(candidates, health_path)
+            return await self._find_by_in_flight(
+                request, candidates, health_path
+            )
         rounds = placement.probe_rounds(
             candidates, self._is_remote, _PROBES_PER_ROUND, _MAX_PROBE_ROUNDS
         )
         for probed in rounds:
             good = await self._probe_round(request, probed, health_path)
-            if good is not None and self._try_confirm(good):
+            if good is not None and self._try_use(request, good):
                 return good
         usable = [
             (rating.order, index, backend)
@@ -192,12 +226,15 @@
             and self._is_acceptable(request, rating)
         ]
         for _, _, backend in sorted(usable):
-            if self._try_confirm(backend):
+            if self._try_use(request, backend):
                 return backend
         return None
 
     async def _find_by_in_flight(
-        self, candidates: list[backend_table.Backend], health_path: str
+        self,
+        request: placement_requests.PlacementRequest,
+        candidates: list[backend_table.Backend],
+        health_path: str,
     ) -> backend_table.Backend | None:
         """Chooses by in-flight requests among servers that report no load.
 
@@ -224,7 +261,7 @@
             backend = free[index]
             if not await self._knows_warmup(backend, health_path):
                 continue
-            if self._try_confirm(backend):
+            if self._try_use(request, backend):
                 return backend
         return None
 
@@ -322,6 +359,7 @@
         self, backend: backend_table.Backend, health_path: str
     ) -> None:
         try:
+            started_s = self._clock()
             report = await self._table.probe(
                 backend,
                 health_path,
@@ -331,6 +369,10 @@
             del self._running_probes[backend.entry.server_id]
         if report is None or not report.is_healthy:
             return
+        if self._spillover is not None:
+            self._spillover.on_round_trip(
+                backend.entry.data_centre, self._clock() - started_s
+            )
         if not report.has_load:
             self._without_load_reports.add(backend.entry.service)
 
@@ -376,13 +418,20 @@
             return None
         if not self._cold_gate.may_use(backend, now_s):
             return None
+        is_remote = self._is_remote(backend)
+        distance_ratio = 0.0
+        if is_remote and self._spillover is not None:
+            distance_ratio = self._spillover.distance_ratio(
+                backend, request.work_s
+            )
         return placement.rate(
             report,
             backend.sent_since_report,
             backend.health.duration_ratio,
             self.crowding_of(request.service).factor,
-            is_remote=self._is_remote(backend),
+            is_remote=is_remote,
             transfer_bytes=request.transfer_bytes,
+            distance_ratio=distance_ratio,
         )
 
     def _candidates(
@@ -419,7 +468,10 @@
             for backend in usable
         ]
         keyed.sort(key=lambda item: item[:2])
-        return [backend for _, _, backend in keyed]
+        candidates = [backend for _, _, backend in keyed]
+        if self._spillover is None:
+            return candidates
+        return self._spillover.arrange(request, candidates)
 
     def _first_healthy(
         self,
@@ -463,13 +515,33 @@
     def _is_remote(self, backend: backend_table.Backend) -> bool:
         return backend.entry.data_centre != self._data_centre
 
-    def _try_confirm(self, backend: backend_table.Backend) -> bool:
+    def _try_use(
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
+    ) -> bool:
+        """Confirms a server, and counts it if it is in another data centre."""
+        if not self._try_confirm(request, backend):
+            return False
+        if self._spillover is not None:
+            self._spillover.on_sent(request, backend)
+        return True
+
+    def _try_confirm(
+        self,
+        request: placement_requests.PlacementRequest,
+        backend: backend_table.Backend,
+    ) -> bool:
         """Confirms a server for a request, and takes a token if it is cold.
 
-        Fails if the server may no longer get requests, or is cold and either
-        not owned by this instance or at its rate limit. Each of these may have
-        changed during the search.
+        Fails if the server may no longer get requests, has too many bytes of
+        bodies in flight, or is cold and either not owned by this instance or
+        at its rate limit. Each of these may have changed during the search.
         """
         if not self._view.is_usable(backend.entry):
             return False
+        if not transfer_budget.fits_server(
+            backend.in_flight_bytes, request.body_bytes
+        ):
+            return False
         return self._cold_gate.try_take(backend, self._clock())
--- a/packages/entry/src/magnoliacrank/entry/service_handlers.py
+++ b/packages/entry/src/magnoliacrank/entry/service_handlers.py
@@ -13,6 +13,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Mapping
 
     from magnoliacrank.entry import entry_metrics
     from magnoliacrank.entry import rollout_controller
@@ -64,6 +66,8 @@
         view: Configuration and registered servers.
         front_port: Port for requests, the same on all instances.
         ttl_s: Seconds for which callers may cache the answer.
+        steered: Returns the data centre that a look-up of callers of this one
+            is steered to, if any, by the services that they use.
         clock: Returns the monotonic time in seconds.
     """
 
@@ -73,8 +77,10 @@
         view: site_view.SiteView,
         front_port: int,
         ttl_s: float,
+        steered: Callable[[Collection[str]], str | None],
         clock: Callable[[], float],
     ) -> None:
+        self._steered = steered
         self._roster = roster
         self._view = view
         self._front_port = front_port
@@ -113,7 +119,21 @@
             service: self._view.serving_data_centres(service)
             for service in services
         }
-        return caller_steering.data_centres_for(data_centre, services, places)
+        found = caller_steering.data_centres_for(data_centre, services, places)
+        if found != [self._roster.own.data_centre]:
+            return found
+        steered = self._steered(services)
+        if steered is None or not self._can_serve(steered, places):
+            return found
+        return [steered]
+
+    def _can_serve(
+        self, data_centre: str, places: Mapping[str, set[str]]
+    ) -> bool:
+        """Whether a data centre has a crew, and servers of all services."""
+        return bool(self._roster.crew(data_centre, self._clock())) and all(
+            data_centre in found for found in places.values()
+        )
 
 
 class PeerHandler:
@@ -141,7 +161,7 @@
         self._reader = reader
         self._trials = trials
         self._usage = usage
-        self._encoded_changes: dict[tuple[int, int], bytes] = {}
+        self._encoded_changes: dict[tuple[int, int, int], bytes] = {}
         self._encoded_version: object = None
         self._metrics = metrics
         self._clock = clock
@@ -164,24 +184,32 @@
     def _records(self, target: str) -> bytes:
         query = parse.parse_qs(target.partition("?")[2])
         view = self._view
-        since = (_offset(query, "operators"), _offset(query, "servers"))
+        since = (
+            _offset(query, "era"),
+            _offset(query, "operators"),
+            _offset(query, "servers"),
+        )
+        operators_mark, servers_mark = view.offsets
         return peer_records.encode(
             peer_records.PeerRecords(
                 content=self._changes_content(since),
-                operators_mark=view.operators.mark,
-                servers_mark=view.servers.mark,
+                operators_mark=operators_mark,
+                servers_mark=servers_mark,
                 verified_age_ms=verified_age_ms(self._reader, self._clock()),
+                era=view.era,
             )
         )
 
-    def _changes_content(self, since: tuple[int, int]) -> bytes:
+    def _changes_content(self, since: tuple[int, int, int]) -> bytes:
         """Returns the encoded changes since two offsets, from the cache if set.
 
-        The cache is dropped as soon as the records or rollout states change.
+        For offsets of an older era of the store, these are all records. The
+        cache is dropped as soon as the records or rollout states change.
         """
         view = self._view
         states = self._trials.states()
-        at = (view.operators.mark, view.servers.mark, states)
+        held = len(view.operators.held) + len(view.servers.held)
+        at = (view.operators.mark, view.servers.mark, held, states)
         if (
             at != self._encoded_version
             or len(self._encoded_changes) >= _MAX_CACHED_CHANGES
@@ -189,18 +217,28 @@
             self._encoded_version = at
             self._encoded_changes = {}
         if since not in self._encoded_changes:
-            changes = peer_records.Changes(
-                operators=peer_records.to_rows(
-                    view.operators.changes_since(since[0])
-                ),
-                servers=peer_records.to_rows(
-                    view.servers.changes_since(since[1])
-                ),
-                states=states,
-            )
+            changes = self._changes(since)
+            changes.states = states
             self._encoded_changes[since] = peer_records.encode_changes(changes)
         return self._encoded_changes[since]
 
+    def _changes(self, since: tuple[int, int, int]) -> peer_records.Changes:
+        operators, servers = self._view.operators, self._view.servers
+        era, operators_since, servers_since = since
+        changes = peer_records.Changes(
+            operators=peer_records.to_rows(
+                operators.changes_since((era, operators_since)), operators.era
+            ),
+            servers=peer_records.to_rows(
+                servers.changes_since((era, servers_since)), servers.era
+            ),
+            states=None,
+        )
+        if era < self._view.era:
+            changes.operators_era = peer_records.to_era_rows(operators)
+            changes.servers_era = peer_records.to_era_rows(servers)
+        return changes
+
 
 def verified_age_ms(reader: site_reader.SiteReader, now_s: float) -> int:
     """Returns the milliseconds since a view was last known to be complete.
@@ -210,9 +248,10 @@
         now_s: Clock time in seconds.
 
     Returns:
-        The age, or -1 if the view was never known to be complete.
+        The age, or -1 if the view was never known to be complete, or its
+        offsets can't be compared with those of others.
     """
-    if reader.verified_s is None:
+    if reader.verified_s is None or reader.is_between_eras:
         return -1
     return max(round((now_s - reader.verified_s) * 1000), 0)
 
