Let the customer with the most waiting give way within a priority

Evicting one of its requests when another customer's was rejected on arrival changed nothing: the other's place in turn doesn't depend on it. Its newest requests now give way when the estimate leaves them no time.

--- a/packages/entry/src/magnoliacrank/entry/overload_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/overload_queue.py
@@ -130,11 +130,6 @@
         while True:
             line = self.queue.line(place)
             decision = self._policy.on_busy(request, line, self._clock())
-            if decision.cause is Cause.WAIT_TOO_LONG and self._take_place(
-                place
-            ):
-                line = self.queue.line(place)
-                decision = self._policy.on_busy(request, line, self._clock())
             if decision.step is wait_policy.Step.REJECT:
                 return self._reject(request, decision)
             self.queue.make_way(place, self._policy.should_give_way)
@@ -192,14 +187,6 @@
         """Whether more urgent requests lack servers, here or elsewhere."""
         return request.priority > self.level.level(self._clock())
 
-    def _take_place(self, place: wait_order.Place) -> bool:
-        """Evicts a request of the customer with the most waiting, if fair."""
-        other = self.queue.order.flooder(place)
-        if other is None:
-            return False
-        self.queue.evict(other)
-        return True
-
     def _record_placement(
         self,
         request: placement_requests.PlacementRequest,
--- a/packages/entry/src/magnoliacrank/entry/wait_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/wait_queue.py
@@ -126,7 +126,7 @@
             [wait_order.Demand, wait_policy.Line, float], bool
         ],
     ) -> None:
-        """Evicts less urgent requests that a new one leaves no time.
+        """Evicts requests that go after a new one, which leaves them no time.
 
         Args:
             place: Place of the request that is about to join.
@@ -135,7 +135,7 @@
         """
         now_s = self._clock()
         for other, before in self.order.last_of_each_level(place, now_s):
-            if other.level <= place.level:
+            if other.level < place.level:
                 # A priority that was hardly served goes first, but by itself.
                 continue
             # The new request counts as well.
--- a/packages/entry/tests/test_wait_queue.py
+++ b/packages/entry/tests/test_wait_queue.py
@@ -117,22 +117,35 @@
     virtual_time.run(play())
 
 
-def test_less_urgent_request_is_told_at_once_that_it_gives_way():
+@pytest.mark.parametrize(
+    ("waiting", "new", "evicted"),
+    [
+        pytest.param((2, ""), (0, ""), 2, id="less urgent"),
+        pytest.param((0, "flood"), (0, "small"), 2, id="flood of a customer"),
+        pytest.param((0, ""), (0, ""), 0, id="equal"),
+        pytest.param((0, ""), (2, ""), 0, id="more urgent"),
+    ],
+)
+def test_request_is_told_at_once_that_it_gives_way(waiting, new, evicted):
+    def place(asked_s, priority, customer):
+        return _place(priority, asked_s, 1.0, customer=customer)
+
     async def play():
         queue = _new_queue()
         await _fill(queue)
         waits = [
-            asyncio.ensure_future(queue.acquire_turn(_place(2, 0.0, 1.0)))
+            asyncio.ensure_future(queue.acquire_turn(place(0.0, *waiting)))
             for _ in range(4)
         ]
         await asyncio.sleep(0.1)
         queue.make_way(
-            _place(0, 0.1, 1.0), lambda demand, line, now_s: line.ahead > 5
+            place(0.1, *new), lambda demand, line, now_s: line.ahead > 5
         )
         await asyncio.sleep(0)
         ended = [wait.result() for wait in waits if wait.done()]
-        assert ended == [Ending.EVICTED] * 2
-        assert [await wait for wait in waits[:2]] == [Ending.TIMED_OUT] * 2
+        assert ended == [Ending.EVICTED] * evicted
+        rest = [await wait for wait in waits[: 4 - evicted]]
+        assert rest == [Ending.TIMED_OUT] * (4 - evicted)
 
     virtual_time.run(play())
 
--- a/packages/policy/src/magnoliacrank/policy/wait_order.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_order.py
@@ -154,8 +154,9 @@
         """Yields the requests that give way first, the least urgent first.
 
         That is, of each level that is less urgent than a request, the newest
-        request of the customer with the most of them. One that is removed
-        before the next step is followed by another of its level.
+        request of the customer with the most of them; of its own level, only
+        one of a customer that has more than its own. One that is removed before
+        the next step is followed by another of its level.
 
         Args:
             after: Place of the request that others may have to give way to.
@@ -167,30 +168,30 @@
         """
         rank = self.rank(after, now_s)
         for level in reversed(self._in_order(now_s)):
-            if self._rank(level, now_s) <= rank:
+            other = self._rank(level, now_s)
+            if other < rank:
                 return
-            queue = self._levels[level]
+            least = 0
+            if other == rank:
+                least = self._levels[level].waiting(after.customer) + 1
             last = None
-            while (place := queue.newest_of_longest()) not in (None, last):
+            while (place := self._flooder(level, least)) not in (None, last):
                 assert place is not None
                 last = place
                 yield place, self._up_to(level, now_s) - 1
 
-    def flooder(self, place: Place) -> Place | None:
-        """Returns the request that gives way to one of another customer.
-
-        It is the newest one of the same level, of the customer that has the
-        most waiting; None if that one has hardly more than the given customer.
+    def _flooder(self, level: Level, least: int) -> Place | None:
+        """Returns the newest request of the customer with the most of a level.
 
         Args:
-            place: Place of the request that may join.
+            level: The level.
+            least: Number of requests that the customer has to exceed.
         """
-        queue = self._levels.get(place.level)
-        victim = None if queue is None else queue.newest_of_longest()
-        if queue is None or victim is None:
+        queue = self._levels[level]
+        place = queue.newest_of_longest()
+        if place is None or queue.waiting(place.customer) <= least:
             return None
-        theirs = queue.waiting(victim.customer)
-        return victim if theirs > queue.waiting(place.customer) + 1 else None
+        return place
 
     def _up_to(self, last: Level, now_s: float) -> int:
         rank = self._rank(last, now_s)
