Let go of a leaving server that a new era doesn't list

It would have counted as registered until the next era: nobody writes the entry of a server that has exited. After the rewrite window it is out anyway.

--- a/packages/platform/src/magnoliacrank/platform/store_client.py
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -61,9 +61,8 @@
     """The response can't be decoded."""
 
     OTHER_ERA = "other-era"
-    """The response is of another era of the store than the call is about, so
-    the offsets in either mean nothing in the other. A write is lost, or was
-    executed under a condition that was meant for another era."""
+    """The response is of another era of the store than the call is about. A
+    write is lost, or was executed under a condition of another era."""
 
 
 @attrs.frozen
@@ -371,11 +370,10 @@
             return StoreFailure(StoreFailureKind.REFUSED, str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return StoreFailure(StoreFailureKind.NO_ANSWER, repr(error))
-        era = wire_values.parse_count(stated.strip())
-        if era is None:
-            era = known_era
-        else:
-            self.note_era(era)
+        stated_era = wire_values.parse_count(stated.strip())
+        if stated_era is not None:
+            self.note_era(stated_era)
+        era = known_era if stated_era is None else stated_era
         if era < (self._era or 0) or expected_era not in (None, era):
             return StoreFailure(
                 StoreFailureKind.OTHER_ERA, f"{name} answered in era {era}"
--- a/packages/policy/src/magnoliacrank/policy/rewound_records.py
+++ b/packages/policy/src/magnoliacrank/policy/rewound_records.py
@@ -61,7 +61,9 @@
     """
     if known is None:
         return Standing.OLDER
-    if listed is None or known.born_ms is None or listed.born_ms is None:
+    if listed is None:
+        return Standing.UNCERTAIN
+    if known.born_ms is None or listed.born_ms is None:
         return Standing.OLDER if known.is_draining else Standing.UNCERTAIN
     if listed.born_ms != known.born_ms:
         is_newer = listed.born_ms > known.born_ms
