Pass changes of other instances on also if their value is known here

An instance that missed a value in between took a change from another for none and didn't pass it on, though its offsets said that it had all. Each position is still merged once by each instance.

--- a/packages/entry/src/magnoliacrank/entry/keyed_view.py
+++ b/packages/entry/src/magnoliacrank/entry/keyed_view.py
@@ -152,7 +152,10 @@
 
     @contextlib.contextmanager
     def merging(
-        self, records: Iterable[store_records.KeyedRecord]
+        self,
+        records: Iterable[store_records.KeyedRecord],
+        *,
+        are_changes: bool = False,
     ) -> Iterator[list[store_records.KeyedRecord]]:
         """Merges records while the caller applies the changes among them.
 
@@ -161,6 +164,9 @@
 
         Args:
             records: Records of the current era, in any order.
+            are_changes: Whether they are changes at another instance. This one
+                then passes them on also if it knows the same value, since it
+                may have missed another one in between.
 
         Yields:
             The records that count as changes.
@@ -171,7 +177,11 @@
             return
         before = self._content.copy()
         try:
-            yield [record for record in records if self._merge(record)]
+            yield [
+                record
+                for record in records
+                if self._merge(record, counts_if_same=are_changes)
+            ]
         except BaseException:
             self._content = before
             raise
@@ -322,11 +332,9 @@
         known = content.records.get(record.key)
         if known is not None and known.position >= record.position:
             return False
-        if (
-            known is None
-            or record.offset >= content.certain_from
-            or self._comparison.is_same(known.value, record.value)
-        ):
+        if record.offset >= content.certain_from:
+            return self._merge(record, counts_if_same=True)
+        if known is None or self._comparison.is_same(known.value, record.value):
             return self._merge(record)
         standing = self._comparison.judge(record.key, known.value, record.value)
         if standing is rewound_records.Standing.NEWER:
@@ -337,7 +345,19 @@
         content.held[record.key] = _HeldRecord(record, until_s)
         return False
 
-    def _merge(self, record: store_records.KeyedRecord) -> bool:
+    def _merge(
+        self,
+        record: store_records.KeyedRecord,
+        *,
+        counts_if_same: bool = False,
+    ) -> bool:
+        """Merges a record; returns whether its value is to be applied.
+
+        Args:
+            record: The record.
+            counts_if_same: Whether it is a change for other instances also if
+                the value is the known one: they may know or hold another.
+        """
         content = self._content
         key = record.key
         known = content.records.get(key)
@@ -354,8 +374,7 @@
         is_same = known is not None and self._comparison.is_same(
             known.value, record.value
         )
-        # Other instances that hold the key learn that it was written again.
-        if is_same and held is None:
+        if is_same and held is None and not counts_if_same:
             return False
         content.changed[key] = record.position
         if known is None and record.value is None:
--- a/packages/entry/src/magnoliacrank/entry/view_updater.py
+++ b/packages/entry/src/magnoliacrank/entry/view_updater.py
@@ -127,7 +127,7 @@
                     topic, peer_records.to_listing(records, rows, found.era)
                 )
             else:
-                self._apply(topic, records)
+                self._apply(topic, records, are_changes=True)
         view.operators.note_seen(found.operators_mark)
         view.servers.note_seen(found.servers_mark)
         return True
@@ -197,8 +197,10 @@
         self,
         view: keyed_view.KeyedView,
         records: Iterable[store_records.KeyedRecord],
+        *,
+        are_changes: bool = False,
     ) -> None:
-        with view.merging(records) as changed:
+        with view.merging(records, are_changes=are_changes) as changed:
             self._apply_changed(view, changed)
 
     def _apply_changed(
--- a/packages/entry/tests/test_keyed_view.py
+++ b/packages/entry/tests/test_keyed_view.py
@@ -118,3 +118,16 @@
     assert _values(late) == {**_values(view), "d": b"4"}
     assert late.next_offset == 41
     assert {record.key for record in late.held} == {"b", "c"}
+
+
+@pytest.mark.parametrize("are_changes", [False, True])
+def test_change_of_another_instance_is_passed_on(view, are_changes):
+    """Guards against a change that gets lost on its way through this view.
+
+    It missed the value in between, which the receiver knows.
+    """
+    record = _record("a", b"1", 60)
+    with view.merging([record], are_changes=are_changes) as changed:
+        assert changed == []
+    assert view.changes_since((1, 60)) == ([record] if are_changes else [])
+    assert view.mark == ((1, 61) if are_changes else (1, 47))
