Count what an era's listing shows as changes for other instances

An instance that started the era from an earlier listing and holds a key back has to hear that it was written again, also from one that knew the value all along.

--- a/packages/entry/src/magnoliacrank/entry/keyed_view.py
+++ b/packages/entry/src/magnoliacrank/entry/keyed_view.py
@@ -343,10 +343,12 @@
         known = content.records.get(record.key)
         if known is not None and known.position >= record.position:
             return False
-        if record.offset >= content.certain_from:
+        if (
+            known is None
+            or record.offset >= content.certain_from
+            or self._comparison.is_same(known.value, record.value)
+        ):
             return self._merge(record, counts_if_same=True)
-        if known is None or self._comparison.is_same(known.value, record.value):
-            return self._merge(record)
         standing = self._comparison.judge(record.key, known.value, record.value)
         if standing is rewound_records.Standing.NEWER:
             return self._merge(record)
