--- a/packages/entry/src/magnoliacrank/entry/keyed_view.py
+++ b/packages/entry/src/magnoliacrank/entry/keyed_view.py
@@ -152,7 +152,10 @@
 
     @contextlib.contextmanager
     def merging(
-        self, records: Iterable[store_records.KeyedRecord]
+        self,
+        records: Iterable[store_records.KeyedRecord],
+        *,
+        are_changes: bool = False,
     ) -> Iterator[list[store_records.KeyedRecord]]:
         """Merges records while the caller applies the changes among them.
 
@@ -161,6 +164,9 @@
 
         Args:
             records: Records of the current era, in any order.
+            are_changes: Whether they are changes at another instance. This one
+                then passes them on also if it knows the same value, since it
+                may have missed another one in between.
 
         Yields:
             The records that count as changes.
@@ -171,7 +177,11 @@
             return
         before = self._content.copy()
         try:
-            yield [record for record in records if self._merge(record)]
+            yield [
+                record
+                for record in records
+                if self._merge(record, counts_if_same=are_changes)
+            ]
         except BaseException:
             self._content = before
             raise
@@ -240,18 +250,22 @@
         """Returns a complete listing of the current era as records to merge.
 
         Keys that the listing lacks count as deleted, unless their record is
-        newer than the listing or retained from an older era.
+        newer than the listing, or was retained at the start of the era because
+        the store lacked the key then, too.
 
         Args:
             newest: Newest record of each key in the store.
         """
         content = self._content
         listed = {record.key for record in newest.records}
+        missing = {
+            key for key, held in content.held.items() if not held.record.value
+        }
         dropped = [
             store_records.KeyedRecord(key, None, newest.end - 1, content.era)
             for key, record in content.records.items()
             if key not in listed
-            and key not in content.held
+            and key not in missing
             and record.position < (content.era, newest.end)
         ]
         return [*newest.records, *dropped]
@@ -259,13 +273,20 @@
     def changes_since(self, mark: Position) -> list[store_records.KeyedRecord]:
         """Returns the records of keys that changed at or after a position.
 
-        These are all records if the position is of an older era.
+        These are all records if the position is of an older era. Otherwise
+        held records are among them: to a view that was complete at the
+        position they are new.
         """
         content = self._content
-        return [
+        if mark[0] < content.era:
+            return list(content.records.values())
+        changes = [
             record
             for key, record in content.records.items()
-            if mark[0] < content.era or content.changed[key] >= mark
+            if content.changed[key] >= mark
+        ]
+        return changes + [
+            record for record in self.held if record.position >= mark
         ]
 
     def _start_era(
@@ -327,7 +348,7 @@
             or record.offset >= content.certain_from
             or self._comparison.is_same(known.value, record.value)
         ):
-            return self._merge(record)
+            return self._merge(record, counts_if_same=True)
         standing = self._comparison.judge(record.key, known.value, record.value)
         if standing is rewound_records.Standing.NEWER:
             return self._merge(record)
@@ -337,7 +358,19 @@
         content.held[record.key] = _HeldRecord(record, until_s)
         return False
 
-    def _merge(self, record: store_records.KeyedRecord) -> bool:
+    def _merge(
+        self,
+        record: store_records.KeyedRecord,
+        *,
+        counts_if_same: bool = False,
+    ) -> bool:
+        """Merges a record; returns whether its value is to be applied.
+
+        Args:
+            record: The record.
+            counts_if_same: Whether it is a change for other instances also if
+                the value is the known one: they may know or hold another.
+        """
         content = self._content
         key = record.key
         known = content.records.get(key)
@@ -354,8 +387,7 @@
         is_same = known is not None and self._comparison.is_same(
             known.value, record.value
         )
-        # Other instances that hold the key learn that it was written again.
-        if is_same and held is None:
+        if is_same and held is None and not counts_if_same:
             return False
         content.changed[key] = record.position
         if known is None and record.value is None:
