Send health requests in a module of their own

placer.py had grown to 547 lines: it chose servers, and kept the probes in flight, which services state no load, and when a warm-up is in doubt. The second half is ServerProber now. No behaviour changes; the tests of the placer, of cold servers and the replays pass unchanged.

--- a/packages/entry/src/magnoliacrank/entry/placer.py
+++ b/packages/entry/src/magnoliacrank/entry/placer.py
@@ -7,12 +7,11 @@
 
 from magnoliacrank.entry import cold_gate
 from magnoliacrank.entry import overload_queue
-from magnoliacrank.entry import owned_task
 from magnoliacrank.entry import placement_request as placement_requests
+from magnoliacrank.entry import server_prober
 from magnoliacrank.policy import crowding
 from magnoliacrank.policy import placement
 from magnoliacrank.policy import transfer_budget
-from magnoliacrank.policy import warmup_check
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,13 +33,6 @@
 _MAX_PROBE_ROUNDS = 3
 """Rounds of probes in one search for a server."""
 
-_PROBE_ROUND_S = 0.03
-"""Longest time that a search waits for one round of probes; reports that
-arrive later still update the backend table."""
-
-_FRESH_REPORT_AGE_S = 0.006
-"""Age up to which a report is used without probing the server again."""
-
 _SEARCH_REPORT_AGE_S = 0.1
 """Age up to which a report is used at the end of a search that found no good
 server; covers all rounds of the search."""
@@ -85,7 +77,6 @@
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
-        self._log = log
         self._view = view
         self._table = table
         self._cold_gate = cold_gate.ColdGate(view, roster, knows_mesh)
@@ -94,8 +85,7 @@
         self._rng = rng
         self._queues: dict[str, overload_queue.OverloadQueue] = {}
         self._crowding: dict[str, crowding.Crowding] = {}
-        self._without_load_reports: set[str] = set()
-        self._running_probes: dict[str, asyncio.Task[None]] = {}
+        self._prober = server_prober.ServerProber(table, log, clock)
         self._spillover: spillover_control.SpilloverControl | None = None
 
     def set_spillover(
@@ -103,6 +93,7 @@
     ) -> None:
         """Sets what bounds the requests to other data centres."""
         self._spillover = control
+        self._prober.set_round_trip_handler(control.on_round_trip)
 
     def queue(self, service: str) -> wait_queue.WaitQueue:
         """Returns the wait queue of a service, created on first use."""
@@ -207,7 +198,7 @@
         service = None if plan is None else plan.services.get(request.service)
         health_path = "/health" if service is None else service.health_path
         candidates = self._candidates(request)
-        if request.service in self._without_load_reports:
+        if self._prober.states_no_load(request.service):
             return await self._find_by_in_flight(
                 request, candidates, health_path
             )
@@ -259,35 +250,12 @@
         ]
         for *_, index in sorted(keyed):
             backend = free[index]
-            if not await self._knows_warmup(backend, health_path):
+            if not await self._prober.knows_warmup(backend, health_path):
                 continue
             if self._try_use(request, backend):
                 return backend
         return None
 
-    async def _knows_warmup(
-        self, backend: backend_table.Backend, health_path: str
-    ) -> bool:
-        """Probes a server that states no load if its warm-up is in doubt.
-
-        Returns:
-            Whether its warm-up state is known well enough to use it now.
-        """
-        now_s = self._clock()
-        report_age_s = None
-        if backend.report is not None:
-            report_age_s = now_s - backend.report_received_s
-        check = warmup_check.due_check(
-            report_age_s, now_s - backend.last_dispatch_s
-        )
-        if check is warmup_check.WarmupCheck.NONE:
-            return True
-        probe = self._start_probe(backend, health_path)
-        if check is warmup_check.WarmupCheck.CONCURRENT or probe is None:
-            return True
-        await asyncio.wait({probe}, timeout=_PROBE_ROUND_S)
-        return backend.report_received_s >= now_s
-
     def _is_acceptable(
         self,
         request: placement_requests.PlacementRequest,
@@ -319,10 +287,10 @@
         """Probes servers concurrently; returns the first good one, or None."""
         pending: set[asyncio.Task[None]] = set()
         for backend in probed:
-            task = self._start_probe(backend, health_path)
+            task = self._prober.start(backend, health_path)
             if task is not None:
                 pending.add(task)
-        end_s = self._clock() + _PROBE_ROUND_S
+        end_s = self._clock() + server_prober.PROBE_ROUND_S
         while True:
             good = self._best_good_backend(request, probed)
             left_s = end_s - self._clock()
@@ -334,48 +302,6 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
 
-    def _start_probe(
-        self, backend: backend_table.Backend, health_path: str
-    ) -> asyncio.Task[None] | None:
-        now_s = self._clock()
-        if (
-            backend.report
-            and now_s - backend.report_received_s <= _FRESH_REPORT_AGE_S
-        ):
-            return None
-        server_id = backend.entry.server_id
-        running = self._running_probes.get(server_id)
-        if running is not None:
-            return running
-        if not backend.probe_bucket.try_take(now_s):
-            return None
-        task = owned_task.spawn(
-            self._probe(backend, health_path), "probe", self._log
-        )
-        self._running_probes[server_id] = task
-        return task
-
-    async def _probe(
-        self, backend: backend_table.Backend, health_path: str
-    ) -> None:
-        try:
-            started_s = self._clock()
-            report = await self._table.probe(
-                backend,
-                health_path,
-                may_queue=backend.entry.service in self._without_load_reports,
-            )
-        finally:
-            del self._running_probes[backend.entry.server_id]
-        if report is None or not report.is_healthy:
-            return
-        if self._spillover is not None:
-            self._spillover.on_round_trip(
-                backend.entry.data_centre, self._clock() - started_s
-            )
-        if not report.has_load:
-            self._without_load_reports.add(backend.entry.service)
-
     def _best_good_backend(
         self,
         request: placement_requests.PlacementRequest,
@@ -384,7 +310,11 @@
         good = [
             (rating.order, index, backend)
             for index, backend in enumerate(probed)
-            if (rating := self._rating(request, backend, _FRESH_REPORT_AGE_S))
+            if (
+                rating := self._rating(
+                    request, backend, server_prober.FRESH_REPORT_AGE_S
+                )
+            )
             is not None
             and rating.fit is placement.Fit.GOOD
         ]
