Bind the records of the usage duty to the store's era

Reads and conditional writes of the duty's topic use the era that the client of the store now checks; the own comparison before and after a read is gone.

--- a/packages/entry/src/magnoliacrank/entry/duty_topic.py
+++ b/packages/entry/src/magnoliacrank/entry/duty_topic.py
@@ -74,15 +74,14 @@
         """Reads the holder and the reports; returns whether it succeeded."""
         if not self._backoff.may_call(self._clock()):
             return False
-        era = self._store.era
         newest = await self._store.newest(
             store_client.DUTY_TOPIC, _CALL_TIMEOUT_S
         )
         if not self._succeeded(newest):
             return False
         assert isinstance(newest, store_client.NewestRecords)
-        if era is not None and self._store.era != era:
-            # The answer may be of the previous era.
+        if newest.era != self.era:
+            # Another call has shown a newer era meanwhile.
             return False
         holder = None
         self._stored = set()
@@ -95,7 +94,7 @@
                 if report is not None:
                     self._merge(report)
         self._drop_old_reports()
-        mark = duty_lease.TopicMark(self.era, newest.end)
+        mark = duty_lease.TopicMark(newest.era, newest.end)
         self._lease.on_read(holder, mark, self._clock())
         return True
 
@@ -167,7 +166,12 @@
         if mark is None or not self._backoff.may_call(self._clock()):
             return None
         offset = await self._store.append(
-            store_client.DUTY_TOPIC, key, value, _CALL_TIMEOUT_S, mark.end
+            store_client.DUTY_TOPIC,
+            key,
+            value,
+            _CALL_TIMEOUT_S,
+            mark.end,
+            mark.era,
         )
         if not self._succeeded(offset):
             self._lease.on_write_unknown()
--- a/packages/standins/src/magnoliacrank/standins/usage_simulation.py
+++ b/packages/standins/src/magnoliacrank/standins/usage_simulation.py
@@ -109,7 +109,7 @@
 
     def learn_era(self) -> None:
         """Learns the store's era, as from the answer to another call."""
-        self._note_era(str(self._records.era))
+        self.note_era(self._records.era)
 
     async def newest(
         self, topic: str, timeout_s: float
@@ -125,7 +125,9 @@
             for offset, (key, value) in enumerate(self._records.items)
         }
         end = len(self._records.items)
-        return store_client.NewestRecords(tuple(newest.values()), end)
+        return store_client.NewestRecords(
+            tuple(newest.values()), end, self._records.era
+        )
 
     async def append(
         self,
@@ -134,6 +136,7 @@
         value: bytes,
         timeout_s: float,
         expected_end: int | None = None,
+        era: int | None = None,
     ) -> int | store_client.StoreFailure:
         """See `StoreClient.append`."""
         del topic, timeout_s
@@ -151,6 +154,8 @@
             self.lost_appends -= 1
             return _failure(store_client.StoreFailureKind.NO_ANSWER)
         self.learn_era()
+        if era not in (None, self._records.era):
+            return _failure(store_client.StoreFailureKind.OTHER_ERA)
         if offset is None:
             return _failure(store_client.StoreFailureKind.CONFLICT)
         self.on_appended(key)
