--- a/packages/entry/tests/test_usage_counts.py
+++ b/packages/entry/tests/test_usage_counts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import json
 
 from magnoliacrank.entry import usage_counter
 from magnoliacrank.platform import settings_file
@@ -10,6 +11,18 @@
 from magnoliacrank.standins import usage_service
 
 
+def _fields(service, seeds=()):
+    return {
+        "bounds": settings_file.SafetyBounds(
+            grace_s=3.2, lease_s=0.5, usage_window_s=1.0, usage_late_s=10.0
+        ),
+        "cloud": settings_file.CloudSettings(
+            service.address, (usage_client.DUTY,), 50.0
+        ),
+        "seeds": seeds,
+    }
+
+
 async def test_requests_through_all_instances_are_reported_together(site):
     """Requests that a server refused to run don't count."""
     loop = asyncio.get_running_loop()
@@ -23,16 +36,8 @@
     runs = await site.add_backend("s1")
     refuses = await site.add_backend("s2")
     refuses.fault = platform_backend.BackendFault.SHED
-    fields = {
-        "bounds": settings_file.SafetyBounds(
-            grace_s=3.2, lease_s=0.5, usage_window_s=1.0, usage_late_s=10.0
-        ),
-        "cloud": settings_file.CloudSettings(
-            service.address, (usage_client.DUTY,), 50.0
-        ),
-    }
-    first = await site.add_instance(1, **fields)
-    await site.add_instance(2, seeds=("127.0.0.1",), **fields)
+    first = await site.add_instance(1, **_fields(service))
+    await site.add_instance(2, **_fields(service, ("127.0.0.1",)))
     await site.ready()
     await site.until(lambda: "front-2" in first._usage.counter.clocks, 20)
     # Windows that began before the instances have met may be left out.
@@ -62,6 +67,30 @@
     await service.close()
 
 
+async def test_duty_is_taken_anew_after_a_reset_of_the_store(site):
+    loop = asyncio.get_running_loop()
+    service = usage_service.UsageService(loop.time)
+    await service.start()
+    await site.add_backend("s1")
+    instances = [
+        await site.add_instance(number, **_fields(service, seeds))
+        for number, seeds in ((1, ()), (2, ("127.0.0.1",)))
+    ]
+    await site.ready()
+    copy = site.store.copy()
+    await asyncio.sleep(1.2)
+    for instance in instances:
+        instance._usage.counter.add("huka")
+    await site.until(lambda: len(service.accepted) > 1, 40)
+    site.store.rewind(copy)
+    await site.until(lambda: service.highest_token >> 32 == 2, 40)
+    await site.until(lambda: service.calls[-1].is_accepted, 40)
+    assert service.violations(0.5) == []
+    records = site.store.newest("keyed.usage-duty")
+    assert json.loads(records["holder"])["era"] == 2
+    await service.close()
+
+
 def test_request_counts_in_the_window_of_most_clocks():
     counter = usage_counter.UsageCounter(
         5.0, 10.0, lambda: 50.0, is_enabled=True, time_of_day=lambda: 1001.5
