--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -25,10 +25,12 @@
 from magnoliacrank.entry import service_handlers
 from magnoliacrank.entry import site_reader
 from magnoliacrank.entry import site_view
+from magnoliacrank.entry import spillover_control
 from magnoliacrank.entry import usage_duty
 from magnoliacrank.gateway import front_limits
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
+from magnoliacrank.policy import caller_steering
 from magnoliacrank.policy import instance_roster
 from magnoliacrank.policy import mesh_protocol
 from magnoliacrank.policy import peer_status
@@ -37,6 +39,7 @@
 from magnoliacrank.policy import transfer_budget
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
     import socket
 
@@ -79,6 +82,7 @@
         clock = clocks.boot_time_s
         bounds = settings.bounds
         rng = random.Random()
+        self._rng = rng
         self._settings = settings
         self._listeners = dict(listeners or {})
         self._clock = clock
@@ -156,6 +160,19 @@
             bounds,
             rng,
         )
+        self._spillover = spillover_control.SpilloverControl(
+            self._view,
+            self._table,
+            self._roster,
+            self._state,
+            self._placer.crowding_of,
+            self.log,
+            self._metrics,
+            clock,
+            rng,
+        )
+        self._placer.set_spillover(self._spillover)
+        self._steering = caller_steering.StatedShares()
         self._link = heartbeat_link.HeartbeatLink(
             settings.ip,
             settings.peer_port,
@@ -277,6 +294,8 @@
         self._state.agree_levels(now_s)
         view = self._view
         operators_mark, servers_mark = view.offsets
+        shares = self._spillover.lasting_shares.stated(now_s)
+        self._steering.on_report(fact.node, shares, now_s)
         return heartbeat.Heartbeat(
             format=heartbeat.FORMAT,
             sender=attrs.astuple(fact),
@@ -296,6 +315,7 @@
                 attrs.astuple(load) for load in self._state.own_loads(now_s)
             ],
             held=len(view.operators.held) + len(view.servers.held),
+            steering=[attrs.astuple(share) for share in shares],
         )
 
     def on_heartbeat(self, beat: heartbeat.Heartbeat) -> None:
@@ -308,6 +328,8 @@
         self._state.peer_loads.on_report(
             fact.node, fact.data_centre, beat.service_loads, now_s
         )
+        if fact.data_centre == self._settings.data_centre:
+            self._steering.on_report(fact.node, beat.lasting_shares, now_s)
         self._state.crashes.update_peer_counts(fact.node, beat.crashes, now_s)
         if self._roster.is_follower(now_s):
             self._state.crashes.apply_peer_blocks(beat.blocked, now_s)
@@ -398,6 +420,7 @@
                 self._view,
                 settings.front[1],
                 min(_DIRECTORY_TTL_S, settings.bounds.directory_ttl_s),
+                self._steered,
                 self._clock,
             )
             servers.append(
@@ -408,6 +431,21 @@
             )
         return servers
 
+    def _steered(self, services: Collection[str]) -> str | None:
+        """Returns the data centre for one look-up of callers nearby.
+
+        Args:
+            services: Services that they use.
+        """
+        now_s = self._clock()
+        demands = {
+            service: self._state.local_demand_slots(service, now_s)
+            for service in services
+        }
+        return caller_steering.steered_data_centre(
+            self._steering.steered(demands, now_s), self._rng.random()
+        )
+
     def _register_gauges(self) -> None:
         metrics = self._metrics
         metrics.add_gauge("store_calls", lambda: self._store.calls)
--- a/packages/entry/src/magnoliacrank/entry/view_updater.py
+++ b/packages/entry/src/magnoliacrank/entry/view_updater.py
@@ -77,7 +77,13 @@
         """Merges a complete listing of a topic, and starts its era if new."""
         await self._prepare(view, newest.records)
         if newest.era == view.era:
-            self._apply(view, view.expand_listing(newest))
+            # A listing lacks values in between, which another instance may
+            # know. Servers renew their entries too often to pass all on.
+            self._apply(
+                view,
+                view.expand_listing(newest),
+                are_changes=view is self._view.operators,
+            )
         else:
             self._start_era(
                 view,
@@ -127,7 +133,7 @@
                     topic, peer_records.to_listing(records, rows, found.era)
                 )
             else:
-                self._apply(topic, records)
+                self._apply(topic, records, are_changes=True)
         view.operators.note_seen(found.operators_mark)
         view.servers.note_seen(found.servers_mark)
         return True
@@ -197,8 +203,10 @@
         self,
         view: keyed_view.KeyedView,
         records: Iterable[store_records.KeyedRecord],
+        *,
+        are_changes: bool = False,
     ) -> None:
-        with view.merging(records) as changed:
+        with view.merging(records, are_changes=are_changes) as changed:
             self._apply_changed(view, changed)
 
     def _apply_changed(
