Give the handler between instances its usage part in the test of histories

Two parts landed side by side: the handler takes the usage duty, and the new test makes handlers without it. The test makes no call that uses the part; its assertions are unchanged.

--- a/packages/entry/tests/test_rewind_histories.py
+++ b/packages/entry/tests/test_rewind_histories.py
@@ -73,7 +73,7 @@
             self.view, _States(), _Log(), world.clock
         )
         self.handler = service_handlers.PeerHandler(
-            self.view, _Reader(), _States(), None, world.clock
+            self.view, _Reader(), _States(), None, None, world.clock
         )
 
     async def read_store(self, *, has_expired=False):
