Plan nothing for data centres that are far away

Cause: the cost of crossing was that of the farthest data centre, so one in another region would have kept requests from a near one.

Data centres where a server at its usual speed wouldn't count as good, by its distance alone, are left out of the plan and stay the last resort, as do those without reports.

Tests: packages/entry and packages/policy pass.

--- a/packages/entry/src/magnoliacrank/entry/spillover_control.py
+++ b/packages/entry/src/magnoliacrank/entry/spillover_control.py
@@ -148,7 +148,9 @@
         if state.plan is None or not local:
             return list(candidates)
         rest = [item for item in candidates if self._is_local(item)]
-        if not state.plan.share and self._may_wait_locally(request, now_s):
+        if not state.plan.share and self._may_wait_locally(
+            state, request, now_s
+        ):
             return rest
         is_urgent = request.priority <= self._loads.highest_priority
         if not state.budget.may_send(now_s, is_urgent=is_urgent):
@@ -161,7 +163,13 @@
                 self._rng.expovariate(room[item.entry.data_centre]),
             )
         )
-        return rest[:_LOCAL_FIRST] + remote + rest[_LOCAL_FIRST:]
+        # Nothing is planned for data centres that are far away or unknown.
+        others = [
+            item
+            for item in candidates
+            if item.entry.data_centre not in state.balances
+        ]
+        return rest[:_LOCAL_FIRST] + remote + rest[_LOCAL_FIRST:] + others
 
     def plan(self, service: str, now_s: float) -> spillover.Plan | None:
         """Returns the plan of a service; None without figures of others.
@@ -220,10 +228,13 @@
                 / rate_per_s
             )
         state.balances = self._balances(service, rows, state.speeds, now_s)
+        for place in list(state.balances):
+            if not placement.is_near(work_s, self._distance_s(place)):
+                del state.balances[place]
         state.plan = state.controller.update(
             state.balances,
             work_s,
-            self._crossing_cost_s(work_s),
+            self._crossing_cost_s(state, work_s),
             now_s,
         )
         local_per_s = sum(
@@ -312,24 +323,20 @@
             for place, count in slots.items()
         }
 
-    def _crossing_cost_s(self, work_s: float) -> float:
-        distance_s = max(
-            (
-                self._distance_s(place)
-                for place in self._round_trips.places()
-                if place != self._data_centre
-            ),
-            default=0.0,
-        )
-        return placement.crossing_cost_s(work_s, distance_s)
+    def _crossing_cost_s(self, state: _Service, work_s: float) -> float:
+        distances_s = map(self._distance_s, state.balances)
+        return placement.crossing_cost_s(work_s, max(distances_s, default=0.0))
 
     def _may_wait_locally(
-        self, request: placement_requests.PlacementRequest, now_s: float
+        self,
+        state: _Service,
+        request: placement_requests.PlacementRequest,
+        now_s: float,
     ) -> bool:
         """Whether a request has waited for less than crossing would cost."""
         waited_s = now_s - request.asked_s
         return request.may_wait and waited_s < self._crossing_cost_s(
-            request.work_s
+            state, request.work_s
         )
 
     def _distance_s(self, data_centre: str) -> float:
--- a/packages/policy/src/magnoliacrank/policy/placement.py
+++ b/packages/policy/src/magnoliacrank/policy/placement.py
@@ -207,6 +207,16 @@
     return (_distance_cost(0, ratio) - 1) * work_s
 
 
+def is_near(work_s: float, distance_s: float) -> bool:
+    """Whether a server at its usual speed is good in spite of its distance.
+
+    Args:
+        work_s: Expected execution time in seconds.
+        distance_s: Additional round trip in seconds.
+    """
+    return crossing_cost_s(work_s, distance_s) <= (GOOD_SLOWDOWN - 1) * work_s
+
+
 def _duration_factor(
     report: backend_entry.HealthReport, duration_ratio: float
 ) -> float:
--- a/packages/policy/src/magnoliacrank/policy/round_trips.py
+++ b/packages/policy/src/magnoliacrank/policy/round_trips.py
@@ -21,10 +21,6 @@
     def __init__(self) -> None:
         self._least_s: dict[str, float] = {}
 
-    def places(self) -> set[str]:
-        """Returns the data centres to which a round trip was measured."""
-        return set(self._least_s)
-
     def add(self, data_centre: str, duration_s: float) -> None:
         """Records a round trip.
 
--- a/packages/policy/tests/test_spillover.py
+++ b/packages/policy/tests/test_spillover.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from magnoliacrank.policy import placement
 from magnoliacrank.policy import round_trips
 from magnoliacrank.policy import spillover
 
@@ -136,3 +137,10 @@
     for _ in range(300):
         found.add("b", 0.02)
     assert found.excess_s("b", "a") == pytest.approx(0.019, abs=2e-3)
+
+
+@pytest.mark.parametrize(
+    ("distance_s", "expected"), [(0.0, True), (0.003, True), (0.07, False)]
+)
+def test_nothing_is_planned_for_another_region(distance_s, expected):
+    assert placement.is_near(WORK_S, distance_s) is expected
