Pass turns on past callers that leave in the same step

A caller that leaves, or whose time is up, cancels its wait at once, but its place stays until its task runs. Both new tests fail without the change.

--- a/packages/entry/src/magnoliacrank/entry/wait_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/wait_queue.py
@@ -115,9 +115,12 @@
         if turn.is_revoked:
             return
         self._turns.remove(turn)
-        place = self.order.pop_next(self._clock())
-        if place is not None:
-            self._futures.pop(place).set_result(self._grant(place))
+        while (place := self.order.pop_next(self._clock())) is not None:
+            future = self._futures.pop(place)
+            # The caller may have left, or the time be up, in this very step.
+            if not future.done():
+                future.set_result(self._grant(place))
+                return
 
     def make_way(
         self,
@@ -147,7 +150,9 @@
     def evict(self, place: wait_order.Place) -> None:
         """Ends the wait of a request that waits for a turn."""
         if self.order.remove(place):
-            self._futures.pop(place).set_result(Ending.EVICTED)
+            future = self._futures.pop(place)
+            if not future.done():
+                future.set_result(Ending.EVICTED)
 
     def on_slot_freed(self) -> None:
         """Wakes requests that wait for a server to finish a request."""
--- a/packages/entry/tests/test_wait_queue.py
+++ b/packages/entry/tests/test_wait_queue.py
@@ -167,16 +167,38 @@
     virtual_time.run(play())
 
 
-def test_cancelled_request_passes_its_turn_on():
+@pytest.mark.parametrize("cancels_first", [False, True])
+def test_cancelled_request_passes_its_turn_on(cancels_first):
+    """A caller leaves in the very step in which its request gets a turn."""
+
     async def play():
         queue = _new_queue()
         turns = await _fill(queue)
         first = asyncio.ensure_future(queue.acquire_turn(_place(0, 0.1, 1.0)))
         second = asyncio.ensure_future(queue.acquire_turn(_place(0, 0.2, 1.0)))
         await asyncio.sleep(0)
+        if cancels_first:
+            first.cancel()
         queue.release_turn(turns.pop())
         first.cancel()
         assert isinstance(await second, wait_queue.Turn)
         await asyncio.gather(first, return_exceptions=True)
+        assert queue.length == wait_queue.MAX_SEARCHING
+
+    virtual_time.run(play())
+
+
+def test_evicting_a_request_whose_caller_has_just_left_does_nothing():
+    async def play():
+        queue = _new_queue()
+        await _fill(queue)
+        place = _place(0, 0.1, 1.0)
+        wait = asyncio.ensure_future(queue.acquire_turn(place))
+        await asyncio.sleep(0)
+        wait.cancel()
+        queue.evict(place)
+        await asyncio.gather(wait, return_exceptions=True)
+        assert wait.cancelled()
+        assert queue.length == wait_queue.MAX_SEARCHING
 
     virtual_time.run(play())
