Call what leaves a full queue evicted

"Gives way", "make way" and "flooder" needed explaining; eviction is the term of the field, which the code of `serve` uses as well. The cause in log lines and metrics is `evicted` now.

--- a/packages/entry/src/magnoliacrank/entry/overload_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/overload_queue.py
@@ -38,7 +38,7 @@
 
 _CAUSES = {
     wait_queue.Ending.TIMED_OUT: Cause.TIME_IS_UP,
-    wait_queue.Ending.EVICTED: Cause.GAVE_WAY,
+    wait_queue.Ending.EVICTED: Cause.EVICTED,
 }
 
 
@@ -132,7 +132,7 @@
             decision = self._policy.on_busy(request, line, self._clock())
             if decision.step is wait_policy.Step.REJECT:
                 return self._reject(request, decision)
-            self.queue.make_way(place, self._policy.should_give_way)
+            self.queue.evict_overtaken(place, self._policy.should_evict)
             turn = await self.queue.acquire_turn(place)
             if isinstance(turn, wait_queue.Ending):
                 return self._reject_waiting(request, place, _CAUSES[turn])
--- a/packages/entry/src/magnoliacrank/entry/wait_queue.py
+++ b/packages/entry/src/magnoliacrank/entry/wait_queue.py
@@ -32,7 +32,7 @@
     """Its deadline for waiting has passed."""
 
     EVICTED = "evicted"
-    """It gave way to others."""
+    """The requests before it left it no time."""
 
 
 @attrs.define(eq=False)
@@ -122,10 +122,10 @@
                 future.set_result(self._grant(place))
                 return
 
-    def make_way(
+    def evict_overtaken(
         self,
         place: wait_order.Place,
-        should_give_way: Callable[
+        should_evict: Callable[
             [wait_order.Demand, wait_policy.Line, float], bool
         ],
     ) -> None:
@@ -133,8 +133,8 @@
 
         Args:
             place: Place of the request that is about to join.
-            should_give_way: Decides on a waiting request, given the queue and
-                the time in seconds; as `WaitPolicy.should_give_way`.
+            should_evict: Decides on a waiting request, given the queue and
+                the time in seconds; as `WaitPolicy.should_evict`.
         """
         now_s = self._clock()
         for other, before in self.order.last_of_each_level(place, now_s):
@@ -144,7 +144,7 @@
             # The new request counts as well.
             ahead = self._turns_before(other) + before + 1
             line = wait_policy.Line(ahead, self.length)
-            if should_give_way(other.demand, line, now_s):
+            if should_evict(other.demand, line, now_s):
                 self.evict(other)
 
     def evict(self, place: wait_order.Place) -> None:
--- a/packages/entry/tests/test_wait_queue.py
+++ b/packages/entry/tests/test_wait_queue.py
@@ -138,7 +138,7 @@
             for _ in range(4)
         ]
         await asyncio.sleep(0.1)
-        queue.make_way(
+        queue.evict_overtaken(
             place(0.1, *new), lambda demand, line, now_s: line.ahead > 5
         )
         await asyncio.sleep(0)
--- a/packages/policy/src/magnoliacrank/policy/wait_order.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_order.py
@@ -151,7 +151,7 @@
     def last_of_each_level(
         self, after: Place, now_s: float
     ) -> Iterator[tuple[Place, int]]:
-        """Yields the requests that give way first, the least urgent first.
+        """Yields the requests to evict, the least urgent first.
 
         That is, of each level that is less urgent than a request, the newest
         request of the customer with the most of them; of its own level, only
@@ -159,7 +159,7 @@
         the next step is followed by another of its level.
 
         Args:
-            after: Place of the request that others may have to give way to.
+            after: Place of the request that overtakes them.
             now_s: Current monotonic time in seconds.
 
         Yields:
@@ -175,12 +175,14 @@
             if other == rank:
                 least = self._levels[level].waiting(after.customer) + 1
             last = None
-            while (place := self._flooder(level, least)) not in (None, last):
-                assert place is not None
+            while True:
+                place = self._eviction_candidate(level, least)
+                if place is None or place is last:
+                    break
                 last = place
                 yield place, self._up_to(level, now_s) - 1
 
-    def _flooder(self, level: Level, least: int) -> Place | None:
+    def _eviction_candidate(self, level: Level, least: int) -> Place | None:
         """Returns the newest request of the customer with the most of a level.
 
         Args:
--- a/packages/policy/src/magnoliacrank/policy/wait_policy.py
+++ b/packages/policy/src/magnoliacrank/policy/wait_policy.py
@@ -8,8 +8,8 @@
 request late as well.
 
 The wait is estimated from what goes before a request in the queue's own order:
-a queue of less urgent requests turns no urgent one away. Each of those is told
-to give way once the requests before it leave it no time.
+a queue of less urgent requests turns no urgent one away. Each of those is
+evicted once the requests before it leave it no time.
 """
 
 from __future__ import annotations
@@ -35,10 +35,10 @@
 """Number of queued requests from which servers count as short."""
 
 
-_GIVE_WAY_FACTOR = 1.25
-"""Estimated wait, relative to the time left, from which a waiting request gives
-way. The margin covers what the estimate varies by: a request that was let in
-isn't turned out for the next few dispatches."""
+_EVICTION_FACTOR = 1.25
+"""Estimated wait, relative to the time left, from which a waiting request is
+evicted. The margin covers the variation of the estimate, so that an admitted
+request isn't evicted by the next few dispatches."""
 
 
 _PEER_LOADS_S = 2.0
@@ -73,8 +73,8 @@
     TIME_IS_UP = "time-is-up"
     """It waited, and got no server by its deadline for waiting."""
 
-    GAVE_WAY = "gave-way"
-    """It waited, and others that go before it took the time that it had."""
+    EVICTED = "evicted"
+    """It waited, and the requests before it left it no time."""
 
 
 @attrs.frozen
@@ -173,7 +173,7 @@
         """
         return self._decide(demand, line, now_s, cause)
 
-    def should_give_way(
+    def should_evict(
         self, demand: wait_order.Demand, line: Line, now_s: float
     ) -> bool:
         """Whether a waiting request is told at once that it won't be served.
@@ -184,7 +184,7 @@
             now_s: Current monotonic time in seconds.
         """
         left_s = demand.wait_deadline_s - now_s
-        return self._wait_s(demand, line, now_s) > left_s * _GIVE_WAY_FACTOR
+        return self._wait_s(demand, line, now_s) > left_s * _EVICTION_FACTOR
 
     def on_dispatch(self, demand: wait_order.Demand, now_s: float) -> None:
         """Records that a request of the service was placed."""
--- a/packages/policy/tests/test_wait_policy.py
+++ b/packages/policy/tests/test_wait_policy.py
@@ -110,8 +110,8 @@
     assert decision.cause is wait_policy.Cause.WAIT_TOO_LONG
     assert decision.wait_s == pytest.approx(0.5, rel=0.05)
     assert decision.left_s == pytest.approx(0.4)
-    assert not policy.should_give_way(other, _line(24), 11.0)
-    assert policy.should_give_way(other, _line(26), 11.0)
+    assert not policy.should_evict(other, _line(24), 11.0)
+    assert policy.should_evict(other, _line(26), 11.0)
 
 
 def test_queues_of_all_instances_tell_when_there_is_room():
