Let a request wait longer in the test of a configuration that changes

Cause: the request ahead holds the only slot for 1.0 s, within which the instance has to read the configuration; beside load that takes longer. The request ahead now takes 3 s and the route's limits are doubled; all assertions stay.

--- a/packages/entry/tests/test_customers.py
+++ b/packages/entry/tests/test_customers.py
@@ -22,8 +22,8 @@
             "write",
             "/write/",
             kind="unsafe",
-            timeout="6000ms",
-            **{"target-latency": "4000ms"},
+            timeout="12000ms",
+            **{"target-latency": "8000ms"},
         ),
         site.route("open", "/open/", public=True),
     ]
@@ -160,7 +160,7 @@
     backend.slots = 1
     site.register(backend)
     await site.until(lambda: instance._view.entry("s1").slots == 1)
-    backend.work_s = 1.0
+    backend.work_s = 3.0
 
     def send(name, key):
         return asyncio.ensure_future(
@@ -168,13 +168,14 @@
                 "/write/1",
                 "POST",
                 request_id=name,
-                deadline_ms=5000,
+                deadline_ms=10_000,
                 headers=_bearer(key),
             )
         )
 
     first = send("first", "key-3")
     await site.until(lambda: backend.runs)
+    backend.work_s = 0.01
     waiting = send("waiting", "key-1")
     queue = instance._state.placer.queue("svc")
     await site.until(lambda: queue.length)
