--- a/packages/entry/src/magnoliacrank/entry/dispatch.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatch.py
@@ -84,8 +84,8 @@
     )
     if status in request_wire.NOT_RUN_STATUSES or not is_intact:
         # A status that promises that the request didn't run counts only with
-        # a Not-Executed header, and an answer only if it is signed and not
-        # re-encoded.
+        # the header `request_wire.NOT_EXECUTED`, and an answer only if it is
+        # signed and not re-encoded.
         return DispatchResult(Verdict.MAY_HAVE_RUN, f"status-{status}-unstated")
     if status >= 500:
         return DispatchResult(
