--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # use Python's standard library only. Run it after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q lib-2 6 7 8 9 10
+python3 -m compileall -q lib-2 6 7 9 10
