Start with settings whose optional fields are empty

Cause: the readers took a field that is there for one with a value, and any error of any field ended the start. All instances read the same fields, so such an error ends them all.

Emptiness is decided in one place, `wire_values.is_empty`. The settings are read without their empty fields, and the optional fields of a configuration (tenants, priorities, keys, `public`, `traffic-split`) use the same function. A malformed field that has a default doesn't end a start anymore; it is logged, and `check-settings` and a reload still name it as an error.

Ruled out: the reload. A start with such a file and no process before it failed as well.

--- a/packages/cli/src/magnoliacrank/cli/instance.py
+++ b/packages/cli/src/magnoliacrank/cli/instance.py
@@ -37,7 +37,7 @@
 
     def run(
         self,
-        settings: settings_file.InstanceSettings,
+        loaded: settings_file.LoadedSettings,
         path: str,
         listeners: Mapping[tuple[str, int], socket.socket],
     ) -> None:
@@ -65,10 +65,11 @@
         sys.stderr.write(f"magnoliacrank instance: {variable} is not set\n")
         return EXIT_SETTINGS
     try:
-        settings = settings_file.load(arguments.settings)
+        loaded = settings_file.load_for_start(arguments.settings)
     except settings_file.SettingsFileError as error:
         sys.stderr.write(f"magnoliacrank instance: {error}\n")
         return EXIT_SETTINGS
+    settings = loaded.settings
     try:
         listeners = {
             address: listener.open_listener(*address)
@@ -77,7 +78,7 @@
         }
         process = importlib.import_module(_PROCESS_MODULE)
         cast("InstanceProcess", process).run(
-            settings, arguments.settings, listeners
+            loaded, arguments.settings, listeners
         )
     except OSError as error:
         sys.stderr.write(f"magnoliacrank instance: {error}\n")
--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -267,7 +267,11 @@
         if self._plan is not None and plan.version <= self._plan.version:
             return
         self._plan = plan
-        self._log.event("configuration in force", version=plan.version)
+        self._log.event(
+            "configuration in force",
+            version=plan.version,
+            empty_fields=list(plan.empty_fields),
+        )
         for listener in self._listeners:
             listener.on_plan(plan)
 
--- a/packages/model/src/magnoliacrank/model/route_plan.py
+++ b/packages/model/src/magnoliacrank/model/route_plan.py
@@ -123,6 +123,9 @@
     customers: customer_table.CustomerTable | None = None
     """Customers and their API keys; None if callers need no key."""
 
+    empty_fields: tuple[str, ...] = ()
+    """Top-level fields of the configuration that are there without a value."""
+
     @property
     def highest_priority(self) -> int:
         """Priority of the most urgent requests; 0 if there are no routes.
--- a/packages/platform/src/magnoliacrank/platform/customer_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/customer_wire.py
@@ -34,16 +34,17 @@
 
     Returns:
         The customers and their keys, or None if the configuration has no list
-        of customers. An empty list is a table in which no key is valid.
+        of customers: the field is missing or has no value. An empty list is a
+        table in which no key is valid.
 
     Raises:
         WireValueError: The list is malformed, a name occurs twice, or two
             customers hold the same key.
     """
-    if _CUSTOMERS not in fields:
-        return None
-    items = fields[_CUSTOMERS]
+    items = fields.get(_CUSTOMERS)
     if not isinstance(items, list):
+        if wire_values.is_empty(items):
+            return None
         raise wire_values.WireValueError(f"{_CUSTOMERS}: not a list")
     customers: dict[str, customer_table.Customer] = {}
     by_key: dict[str, customer_table.Customer] = {}
@@ -75,7 +76,7 @@
 
 
 def _decode_priority(item: dict[str, Any], place: str) -> int | None:
-    if "priority" not in item:
+    if wire_values.is_empty(item.get("priority")):
         return None
     try:
         return wire_values.read_integer(item, "priority")
@@ -89,6 +90,8 @@
 def _decode_keys(item: dict[str, Any], place: str) -> Iterator[tuple[str, str]]:
     """Yields the place and the text of each key of a customer."""
     keys = item.get(_KEYS)
+    if wire_values.is_empty(keys):
+        return
     if not isinstance(keys, list):
         raise wire_values.WireValueError(f"{place}.{_KEYS}: not a list")
     for index, key in enumerate(keys):
--- a/packages/platform/src/magnoliacrank/platform/operator_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/operator_wire.py
@@ -126,6 +126,7 @@
             idle_timeout_s=wire_values.read_duration_s(limits, "idle-timeout"),
         ),
         customers=customer_wire.decode_customers(fields),
+        empty_fields=tuple(wire_values.drop_empty(fields, depth=1)[1]),
     )
 
 
@@ -164,7 +165,7 @@
     """Returns the services that a route names with a weight of zero."""
     return tuple(
         item["service"]
-        for item in fields.get("traffic-split", ())
+        for item in fields.get("traffic-split") or ()
         if not item["weight"]
     )
 
@@ -202,7 +203,7 @@
 
 
 def _decode_shares(fields: Any) -> tuple[route_plan.ServiceShare, ...]:
-    if "traffic-split" not in fields:
+    if wire_values.is_empty(fields.get("traffic-split")):
         name = wire_values.read_string(fields, "service")
         return (route_plan.ServiceShare(name, 1.0),)
     shares = tuple(
--- a/packages/platform/src/magnoliacrank/platform/wire_values.py
+++ b/packages/platform/src/magnoliacrank/platform/wire_values.py
@@ -52,6 +52,45 @@
         raise WireValueError(str(error)) from error
 
 
+def is_empty(value: Any) -> bool:
+    """Returns whether a value states nothing, as if its field were missing.
+
+    False and zero are values.
+    """
+    return value is None or value in ("", [], {})
+
+
+def drop_empty(
+    fields: dict[str, Any], prefix: str = "", depth: int = 2
+) -> tuple[dict[str, Any], list[str]]:
+    """Returns a mapping without the fields that are empty.
+
+    A nested mapping of which nothing is left is empty, too.
+
+    Args:
+        fields: The mapping.
+        prefix: Beginning of the paths that are returned.
+        depth: Levels of mappings that are searched for empty fields. Documents
+            in YAML may contain themselves.
+
+    Returns:
+        The other fields, and the paths of the empty ones, such as `a.b`.
+    """
+    kept: dict[str, Any] = {}
+    dropped: list[str] = []
+    for name, value in fields.items():
+        path = f"{prefix}{name}"
+        left = value
+        if is_empty(value):
+            dropped.append(path)
+        elif depth > 1 and isinstance(value, dict):
+            left, nested = drop_empty(value, f"{path}.", depth - 1)
+            dropped += nested
+        if not is_empty(left):
+            kept[name] = left
+    return kept, dropped
+
+
 def parse_count(text: str) -> int | None:
     """Returns a count of up to nine ASCII digits, or None for another text."""
     return int(text) if _COUNT.fullmatch(text) else None
@@ -158,12 +197,12 @@
 
 
 def read_boolean(fields: Any, name: str, *, default: bool) -> bool:
-    """Returns a boolean field, or the default if it is missing.
+    """Returns a boolean field, or the default if it is missing or empty.
 
     Raises:
         WireValueError: The field is of another type.
     """
-    if isinstance(fields, dict) and name not in fields:
+    if isinstance(fields, dict) and is_empty(fields.get(name)):
         return default
     value = _read(fields, name)
     if not isinstance(value, bool):
--- a/packages/policy/src/magnoliacrank/policy/configuration_review.py
+++ b/packages/policy/src/magnoliacrank/policy/configuration_review.py
@@ -66,11 +66,19 @@
         *_services(listing),
         *_customers(listing.plan.customers),
         *_limits(listing.plan.limits, memory_bytes),
+        *_empty_fields(listing.plan),
     ]
     findings.sort(key=lambda finding: finding.severity is Severity.WARNING)
     return findings
 
 
+def _empty_fields(plan: route_plan.RoutePlan) -> Iterator[Finding]:
+    for field in plan.empty_fields:
+        yield Finding(
+            Severity.WARNING, field, "has no value and counts as missing"
+        )
+
+
 def check_successor(
     before: route_plan.RoutePlan, after: route_plan.RoutePlan
 ) -> list[Finding]:
