Read a topic to its end before the view counts as verified

Cause: the store ends an answer at 1 MB, and `StoreReads` took one page for the whole topic. The view counted as verified, others verified theirs by it, and the next four versions were read 0.7 s later, whatever the backlog was. The trace of the reading instance shows four versions within 65 ms, then 0.67 s without any, again and again.

A read is now complete if its page reaches the end that the store states. Otherwise the newest record of each key is read at once, which doesn't grow with the backlog. A failure in between doesn't count as read.

Ruled out: the way to the other instances, which have a version 10 to 20 ms after the reader.

The list of instances of `serve` had the same fault. A page of the newest records that is empty, but says that more follow, is an error now. The store's stand-in ends its pages as the protocol says.

--- a/packages/entry/src/magnoliacrank/entry/site_view.py
+++ b/packages/entry/src/magnoliacrank/entry/site_view.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 from typing import Protocol
+from typing import TypeVar
 
+from magnoliacrank.entry import configuration_decoder
 from magnoliacrank.entry import keyed_view
 from magnoliacrank.entry import record_comparison
 from magnoliacrank.entry import server_entries
@@ -23,6 +25,9 @@
     from magnoliacrank.platform import store_records
 
 
+_Item = TypeVar("_Item")
+
+
 class SiteListener(Protocol):
     """Listener for changes of a `SiteView`."""
 
@@ -79,6 +84,7 @@
         self.servers = keyed_view.KeyedView(
             record_comparison.ServerComparison()
         )
+        self._decoder = configuration_decoder.ConfigurationDecoder()
         self._plan: route_plan.RoutePlan | None = None
         self._evacuated: frozenset[str] = frozenset()
         self._orders: dict[str, tuple[orders.RolloutOrder, int]] = {}
@@ -216,16 +222,28 @@
         )
         self._rebuild_index()
 
+    async def prepare_operators(
+        self, records: Iterable[store_records.KeyedRecord]
+    ) -> None:
+        """Does what takes long before records of operators are applied."""
+        await self._decoder.prepare(records, self.operators)
+
     def apply_operators(
         self, changed: Iterable[store_records.KeyedRecord]
     ) -> None:
-        """Applies changed records of the operators' topic.
+        """Applies changed records of the operators' topic, oldest first.
 
         Raises:
             ExceptionGroup: Some records could not be applied, for a reason
                 other than their contents; the others are in force.
         """
-        errors = _apply_each(self._apply_operator, changed)
+        configurations: list[store_records.KeyedRecord] = []
+        orders: list[store_records.KeyedRecord] = []
+        for record in changed:
+            is_plan = record.key == operator_wire.CONFIGURATION_KEY
+            (configurations if is_plan else orders).append(record)
+        errors = _apply_each(self._apply_order, orders)
+        errors += _apply_each(self._apply_newest, [configurations])
         self._apply_evacuations()
         self._rebuild_index()
         _raise_together(errors)
@@ -246,24 +264,35 @@
             listener.on_servers(counts)
         _raise_together(errors)
 
-    def _apply_operator(self, record: store_records.KeyedRecord) -> None:
-        if record.key == operator_wire.CONFIGURATION_KEY:
-            self._apply_configuration(record)
-            return
+    def _apply_order(self, record: store_records.KeyedRecord) -> None:
         service = operator_wire.rollout_service(record.key)
         if service is not None:
             self._apply_rollout(service, record)
 
-    def _apply_configuration(self, record: store_records.KeyedRecord) -> None:
+    def _apply_newest(
+        self, configurations: list[store_records.KeyedRecord]
+    ) -> None:
+        """Applies the newest readable one; it replaces all before it."""
+        for record in reversed(configurations):
+            plan = self._decode_configuration(record)
+            if plan is not None:
+                self._apply_configuration(plan)
+                return
+
+    def _decode_configuration(
+        self, record: store_records.KeyedRecord
+    ) -> route_plan.RoutePlan | None:
         if record.value is None:
-            return
+            return None
         try:
-            plan = operator_wire.decode_configuration(record.value)
+            return self._decoder.decode(record.value)
         except wire_values.WireValueError as error:
             self._refuse(
                 "configuration unreadable", error, offset=record.offset
             )
-            return
+            return None
+
+    def _apply_configuration(self, plan: route_plan.RoutePlan) -> None:
         if self._plan is not None and plan.version <= self._plan.version:
             return
         self._plan = plan
@@ -361,18 +390,17 @@
 
 
 def _apply_each(
-    apply: Callable[[store_records.KeyedRecord], None],
-    records: Iterable[store_records.KeyedRecord],
+    apply: Callable[[_Item], None], items: Iterable[_Item]
 ) -> list[Exception]:
-    """Applies records one by one.
+    """Applies records, or groups of them, one by one.
 
     Returns:
-        The exceptions of the records that could not be applied.
+        The exceptions of those that could not be applied.
     """
     errors: list[Exception] = []
-    for record in records:
+    for item in items:
         try:
-            apply(record)
+            apply(item)
         except Exception as error:
             errors.append(error)
     return errors
--- a/packages/entry/src/magnoliacrank/entry/store_reads.py
+++ b/packages/entry/src/magnoliacrank/entry/store_reads.py
@@ -1,4 +1,9 @@
-"""StoreReads: reads the operators' and the servers' topic from the store."""
+"""StoreReads: reads the operators' and the servers' topic from the store.
+
+Load pattern: a burst of large configurations. Of these only the newest counts,
+so a reader that lacks more than a page reads the newest record of each key
+instead of all that lie in between.
+"""
 
 from __future__ import annotations
 
@@ -90,7 +95,8 @@
         """Reads both topics.
 
         Returns:
-            Whether both were read, in the same era of the store.
+            Whether both were read to their ends at the time of the call, in
+            the same era of the store.
         """
         failure = await self._read_topics()
         if failure is None and self._view.is_between_eras:
@@ -123,7 +129,13 @@
             if not isinstance(page, store_client.StoreFailure):
                 if page.era == view.era:
                     await self._updater.merge_page(view, page)
-                    return None
+                    if page.is_complete:
+                        return None
+                    self._log.event(
+                        "store backlog skipped",
+                        topic=topic,
+                        records=page.end - page.next_offset,
+                    )
             elif not self._is_older_era(view):
                 if page.kind is not store_client.StoreFailureKind.EXPIRED:
                     return page
--- a/packages/entry/src/magnoliacrank/entry/view_updater.py
+++ b/packages/entry/src/magnoliacrank/entry/view_updater.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import site_view
@@ -126,6 +127,7 @@
             self._states.adopt_states(changes.states)
         if not await self._ensure_rollout_states(operators):
             return False
+        await view.prepare_operators(operators)
         view.on_store_answer(asked_s - found.verified_age_ms / 1000)
         for topic, records, rows in topics:
             if rows is not None:
@@ -154,11 +156,12 @@
     async def _prepare(
         self,
         view: keyed_view.KeyedView,
-        records: Iterable[store_records.KeyedRecord],
+        records: Sequence[store_records.KeyedRecord],
     ) -> None:
         self._view.on_store_answer(self._clock())
         if view is self._view.operators:
             await self._ensure_rollout_states(records)
+            await self._view.prepare_operators(records)
 
     async def _ensure_rollout_states(
         self, records: Iterable[store_records.KeyedRecord]
--- a/packages/platform/src/magnoliacrank/platform/store_client.py
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -44,6 +44,10 @@
 _PRECONDITION_FAILED = 412
 _MAX_PAGES = 1000
 
+_PAGE_KB = 256
+"""Size of a page of changes: the largest record, or the renewals of hundreds of
+servers. A reader that lacks more gets it sooner as the newest records."""
+
 
 class StoreFailureKind(enum.Enum):
     """Why a call to the store failed."""
@@ -186,7 +190,9 @@
     async def read(
         self, topic: str, start: int, wait_s: float, timeout_s: float
     ) -> store_records.RecordPage | StoreFailure:
-        """Reads records of a topic with keys, from an offset on.
+        """Reads one page of a topic with keys, from an offset on.
+
+        The page may end before the topic; see `RecordPage.is_complete`.
 
         Args:
             topic: Name of the topic.
@@ -196,7 +202,7 @@
             timeout_s: Longest time for the response in addition to `wait_s`,
                 in seconds.
         """
-        answer = await self._read(topic, start, wait_s, timeout_s)
+        answer = await self._read(topic, start, wait_s, timeout_s, _PAGE_KB)
         if isinstance(answer, StoreFailure):
             return answer
         try:
@@ -258,8 +264,10 @@
             records += page.records
             if first_end is None:
                 first_end = page.end
-            if not page.has_more or not page.records:
+            if not page.has_more:
                 return NewestRecords(tuple(records), first_end, era)
+            if not page.records:
+                break
             query["after"] = page.records[-1].key
         return StoreFailure(StoreFailureKind.MALFORMED, "pages without an end")
 
@@ -313,9 +321,16 @@
         return await self._append(topic, body, timeout_s, None, era)
 
     async def _read(
-        self, topic: str, start: int, wait_s: float, timeout_s: float
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        timeout_s: float,
+        max_kb: int | None = None,
     ) -> _Answer | StoreFailure:
         query = {"topic": topic, "part": "0", "from": str(start)}
+        if max_kb is not None:
+            query["max-kb"] = str(max_kb)
         if wait_s > 0:
             query["wait-ms"] = str(round(wait_s * 1000))
         return await self._call(
--- a/packages/platform/src/magnoliacrank/platform/store_instance_list.py
+++ b/packages/platform/src/magnoliacrank/platform/store_instance_list.py
@@ -111,9 +111,9 @@
 class _TopicCache(Generic[_Entry]):
     """Local copy of a topic with keys: the newest entry of each key.
 
-    After the first fetch, only new records are read and decoded, unless the
-    store no longer retains some of them or came back from an older copy; then
-    all entries are read again.
+    After the first fetch, only new records are read and decoded, unless they
+    fill more than a page, the store no longer retains some of them or it came
+    back from an older copy; then all entries are read again.
 
     Args:
         store: Client of the store.
@@ -159,7 +159,8 @@
         """Applies the records from an offset on.
 
         Returns:
-            False if they have expired, or the offset is of an older era.
+            False if they have expired, if further ones follow the page that
+            was read, or if the offset is of an older era.
         """
         if self._era < (self._store.era or 0):
             return False
@@ -173,7 +174,7 @@
         for record in page.records:
             self._apply(record)
         self._next_offset = page.next_offset
-        return True
+        return page.is_complete
 
     async def _reload(self) -> None:
         newest = await self._store.newest(self._topic, self._timeout_s)
--- a/packages/platform/src/magnoliacrank/platform/store_records.py
+++ b/packages/platform/src/magnoliacrank/platform/store_records.py
@@ -66,6 +66,11 @@
     era: int = 0
     """Era of the store that the response states; 0 if it states none."""
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether no record follows, so that a reader lacks none now."""
+        return self.next_offset >= self.end
+
 
 @attrs.frozen
 class PlainPage:
--- a/packages/platform/tests/test_odd_values.py
+++ b/packages/platform/tests/test_odd_values.py
@@ -179,6 +179,7 @@
         b'{"items":[{"key":7,"value":"AA==","offset":1}],"end":1}',
         b'{"items":[7],"end":1}',
         b'{"items":[],"end":"1"}',
+        b'{"items":[],"has-more":true,"end":1}',
     ],
 )
 async def test_odd_answer_of_the_store_is_a_failure(data, monkeypatch):
--- a/packages/platform/tests/test_store_log.py
+++ b/packages/platform/tests/test_store_log.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+import msgspec
 import pytest
 
 from magnoliacrank.model import ids
@@ -201,3 +202,18 @@
             await listed.fetch()
         store.fault = Fault.NONE
         assert await listed.fetch() == before
+
+
+async def test_list_reads_more_changes_than_fit_in_a_page(store):
+    """Guards against a list that ends within the changes since the last."""
+    async with connected(store) as client:
+        listed = store_instance_list.StoreInstanceList(client)
+        await listed.announce(entry("e1"))
+        await listed.fetch()
+        value = msgspec.json.encode(entry("e1"))
+        for _ in range(5 * 262_144 // len(value)):
+            store.put("keyed.entry-instances", "e1", value)
+        await listed.announce(entry("e2"))
+        found = await listed.fetch()
+    names = [one.entry.instance_id for one in found.instances]
+    assert names == ["e1", "e2"]
--- a/packages/standins/src/magnoliacrank/standins/platform_store.py
+++ b/packages/standins/src/magnoliacrank/standins/platform_store.py
@@ -26,6 +26,8 @@
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
 _PAGE_ITEMS = 50
+_DEFAULT_PAGE_KB = "1024"
+_BYTES_PER_KB = 1024
 _MAX_CALL_BYTES = 2 << 20
 _ERA_HEADER = "Store-Era"
 _OPERATOR_TOPICS = frozenset({"keyed.op", "keyed.servers"})
@@ -238,9 +240,9 @@
                     pass
             if found.lacks(start):
                 return web.json_response({"first": found.first}, status=410)
+            max_kb = int(request.query.get("max-kb", _DEFAULT_PAGE_KB))
             body = _READ_HEADER.pack(found.end, found.first)
-            for content in found.records[start:]:
-                body += _RECORD_LENGTH.pack(len(content)) + content
+            body += _encode_page(found.records[start:], max_kb * _BYTES_PER_KB)
             return web.Response(body=body)
 
         return await self._answer_with_fault(request, "read", read)
@@ -249,13 +251,14 @@
         async def newest() -> web.StreamResponse:
             found = self._topic(request.query["topic"])
             after = request.query.get("after", "")
-            keys = sorted(key for key in found.newest() if key > after)
+            records = found.newest()
+            keys = sorted(key for key in records if key > after)
             page = keys[:_PAGE_ITEMS]
             items = [
                 {
                     "key": key,
-                    "value": base64.b64encode(found.newest()[key][1]).decode(),
-                    "offset": found.newest()[key][0],
+                    "value": base64.b64encode(records[key][1]).decode(),
+                    "offset": records[key][0],
                 }
                 for key in page
             ]
@@ -316,6 +319,17 @@
     return bytes((len(name),)) + name + value
 
 
+def _encode_page(records: Sequence[bytes], max_bytes: int) -> bytes:
+    """Returns the first records, at least one, within a number of bytes."""
+    body = b""
+    for content in records:
+        record = _RECORD_LENGTH.pack(len(content)) + content
+        if body and len(body) + len(record) > max_bytes:
+            break
+        body += record
+    return body
+
+
 def _decode_keyed(content: bytes) -> tuple[str, bytes]:
     size = content[0]
     return content[1 : 1 + size].decode(), content[1 + size :]
