Don't name an empty list of customers as a field without a value

`tenants: []` is a list in which no key is valid. The log line of the version and `check-config` said that it counts as missing, which it doesn't; a field without any value does.

--- a/packages/platform/src/magnoliacrank/platform/customer_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/customer_wire.py
@@ -16,7 +16,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-_CUSTOMERS = "tenants"
+CUSTOMERS = "tenants"
+"""Field of the configuration with the list of customers."""
+
 _KEYS = "api-keys"
 
 _NAME = re.compile(r"[!-~](?:[ -~]{0,253}[!-~])?")
@@ -41,15 +43,15 @@
         WireValueError: The list is malformed, a name occurs twice, or two
             customers hold the same key.
     """
-    items = fields.get(_CUSTOMERS)
+    items = fields.get(CUSTOMERS)
     if not isinstance(items, list):
         if wire_values.is_empty(items):
             return None
-        raise wire_values.WireValueError(f"{_CUSTOMERS}: not a list")
+        raise wire_values.WireValueError(f"{CUSTOMERS}: not a list")
     customers: dict[str, customer_table.Customer] = {}
     by_key: dict[str, customer_table.Customer] = {}
     for index, item in enumerate(items):
-        place = f"{_CUSTOMERS}[{index}]"
+        place = f"{CUSTOMERS}[{index}]"
         customer = _decode_customer(item, place)
         if customer.name in customers:
             raise wire_values.WireValueError(
--- a/packages/platform/src/magnoliacrank/platform/operator_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/operator_wire.py
@@ -111,6 +111,11 @@
         for item in wire_values.read_list(fields, "virtual-hosts")
     }
     limits = wire_values.read_mapping(fields, "limits")
+    customers = customer_wire.decode_customers(fields)
+    empty_fields = set(wire_values.drop_empty(fields, depth=1)[1])
+    if customers is not None:
+        # An empty list of customers isn't the same as none.
+        empty_fields.discard(customer_wire.CUSTOMERS)
     return route_plan.RoutePlan(
         version=wire_values.read_integer(fields, "version"),
         routes=routes,
@@ -125,8 +130,8 @@
             ),
             idle_timeout_s=wire_values.read_duration_s(limits, "idle-timeout"),
         ),
-        customers=customer_wire.decode_customers(fields),
-        empty_fields=tuple(wire_values.drop_empty(fields, depth=1)[1]),
+        customers=customers,
+        empty_fields=tuple(sorted(empty_fields)),
     )
 
 
--- a/packages/policy/src/magnoliacrank/policy/configuration_review.py
+++ b/packages/policy/src/magnoliacrank/policy/configuration_review.py
@@ -74,9 +74,7 @@
 
 def _empty_fields(plan: route_plan.RoutePlan) -> Iterator[Finding]:
     for field in plan.empty_fields:
-        yield Finding(
-            Severity.WARNING, field, "has no value and counts as missing"
-        )
+        yield _warning(field, "has no value and counts as missing")
 
 
 def check_successor(
