Treat downloads as requests that may run more than once

The table of kinds knew `safe` only, and any other kind runs at most once, which decides about cancelling, retries, hedges and the choice of connections.

Ruled out: a second cause behind it. With the one entry in the table and nothing else the servers drop the work.

Since a hedge of a large answer holds a second one, a request is hedged only while the memory for answers would accept a new request with such an answer.

--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -178,7 +178,9 @@
         if refusal is not None:
             await self._refuse(exchange, refusal, rule, trace)
             return
-        carrier = request_carrier.RequestCarrier(self._state, job)
+        carrier = request_carrier.RequestCarrier(
+            self._state, job, self._answers
+        )
         result = await self._carry(exchange, carrier, job)
         if result is None:
             return
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -29,6 +29,7 @@
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import entry_state
     from magnoliacrank.entry import job as jobs
+    from magnoliacrank.policy import transfer_budget
 
 Verdict = dispatches.Verdict
 Urgency = repeat_budget.Urgency
@@ -84,11 +85,18 @@
     Args:
         state: State that all requests of the instance share.
         job: The request.
+        answers: Memory limit that all answers share.
     """
 
-    def __init__(self, state: entry_state.EntryState, job: jobs.Job) -> None:
+    def __init__(
+        self,
+        state: entry_state.EntryState,
+        job: jobs.Job,
+        answers: transfer_budget.TransferBudget,
+    ) -> None:
         self._state = state
         self._job = job
+        self._answers = answers
         self._dispatcher = dispatcher.Dispatcher(state, job)
         self._clock = state.clock
         self._tried_server_ids: set[str] = set()
@@ -382,6 +390,10 @@
             return None
         if self._check_access() is None:
             return None
+        expected_bytes = self._state.expected_answer_bytes(self._job.rule)
+        if not self._answers.accepts_request(expected_bytes):
+            # The second of two large answers would take the memory of others.
+            return None
         if self._state.placer.queue(self._job.service).length:
             # Requests that have no server yet take precedence over hedges.
             return None
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -9,6 +9,7 @@
 from magnoliacrank.entry import request_carrier
 from magnoliacrank.entry import request_trace
 from magnoliacrank.platform import store_client
+from magnoliacrank.policy import transfer_budget
 from magnoliacrank.standins import platform_backend
 from magnoliacrank.standins import platform_store
 
@@ -403,7 +404,8 @@
         fingerprint="f",
         trace=request_trace.RequestTrace(instance._clock(), instance._clock),
     )
-    carrier = request_carrier.RequestCarrier(instance._state, job)
+    answers = transfer_budget.TransferBudget(1 << 20)
+    carrier = request_carrier.RequestCarrier(instance._state, job, answers)
     known.on_dispatch(instance._clock())
     task = asyncio.ensure_future(carrier._dispatch_hedged(known))
     await asyncio.sleep(0)
--- a/packages/model/src/magnoliacrank/model/configuration_listing.py
+++ b/packages/model/src/magnoliacrank/model/configuration_listing.py
@@ -20,6 +20,10 @@
     unused_services: tuple[str, ...] = ()
     """Services that the route names with a weight of zero."""
 
+    has_known_kind: bool = True
+    """Whether the kind of its requests is known; otherwise they run at most
+    once."""
+
 
 @attrs.frozen
 class ConfigurationListing:
--- a/packages/platform/src/magnoliacrank/platform/operator_wire.py
+++ b/packages/platform/src/magnoliacrank/platform/operator_wire.py
@@ -18,10 +18,15 @@
 _ROLLOUT_PREFIX = "rollout/"
 _EVACUATION_PREFIX = "evacuate/"
 
-_REQUEST_KINDS = {"safe": route_plan.RequestKind.IDEMPOTENT}
-"""Request kind by its name in the configuration.
-
-Requests of any other kind run at most once.
+_REQUEST_KINDS = {
+    "safe": route_plan.RequestKind.IDEMPOTENT,
+    "download": route_plan.RequestKind.IDEMPOTENT,
+    "unsafe": route_plan.RequestKind.AT_MOST_ONCE,
+    "upload": route_plan.RequestKind.AT_MOST_ONCE,
+}
+"""Request kind by its name in the configuration; see docs/design/kinds.md.
+
+Requests of a kind that isn't listed run at most once.
 """
 
 
@@ -153,7 +158,10 @@
         plan=plan,
         routes=tuple(
             configuration_listing.ListedRoute(
-                host, _decode_route(path), _unused_services(path)
+                host,
+                _decode_route(path),
+                _unused_services(path),
+                has_known_kind=path["kind"] in _REQUEST_KINDS,
             )
             for host, paths in hosts
             for path in paths
--- a/packages/policy/src/magnoliacrank/policy/configuration_review.py
+++ b/packages/policy/src/magnoliacrank/policy/configuration_review.py
@@ -169,6 +169,8 @@
                 f"timeout {rule.timeout_s:g}s is below the latency objective"
                 f" {rule.target_latency_s:g}s",
             )
+        if not route.has_known_kind:
+            yield _warning(place, "kind is unknown: requests run at most once")
         for share in rule.shares:
             if share.service not in listing.plan.services:
                 yield _error(place, f"unknown service {share.service!r}")
