Send no request on for a caller that has left

A request that runs at most once was placed again if its server refused it after its caller had left, and was written if its caller left while the connection was being made.

Cause: whether such a request may be cancelled was asked once, and answered by "a server was chosen", which is true before anything was written. Nothing remembered that the caller had left.

A request counts as being at a server from its first byte until the server refuses it. Outside of that it is cancelled with its caller; within it, it is finished, and no attempt follows. One whose caller left before it was looked at isn't begun.

--- a/packages/entry/src/magnoliacrank/entry/backend_link.py
+++ b/packages/entry/src/magnoliacrank/entry/backend_link.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import time
-from typing import TYPE_CHECKING
 
 from aiohttp import hdrs
 import attrs
@@ -18,9 +18,6 @@
 from magnoliacrank.platform import request_wire
 from magnoliacrank.policy import transfer_budget
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 FailureKind = exchange_failure.FailureKind
 ExchangeFailure = exchange_failure.ExchangeFailure
 
@@ -79,6 +76,10 @@
     """Whether it may be executed more than once. If not, it is never sent on a
     connection that carried a refusal, which a faulty server could repeat."""
 
+    on_sending: Callable[[], None] = lambda: None
+    """Called once there is a connection, right before the first byte is
+    written. The server may have run the request from then on."""
+
 
 class _WholeBody:
     """Source that yields a body, which is in memory, in parts.
@@ -225,6 +226,7 @@
 
         body = request.body
         is_short = len(body) <= _BODY_PART_BYTES
+        request.on_sending()
         first = request.head.encode(len(body))
         pending = connection.send(
             first + body if is_short else first,
--- a/packages/entry/src/magnoliacrank/entry/dispatcher.py
+++ b/packages/entry/src/magnoliacrank/entry/dispatcher.py
@@ -15,6 +15,8 @@
 from magnoliacrank.policy import version_trial
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliacrank.entry import backend_table
     from magnoliacrank.entry import entry_state
     from magnoliacrank.entry import job as jobs
@@ -50,11 +52,18 @@
     Args:
         state: State that all requests of the instance share.
         job: The request.
+        on_sending: Called right before the request is written to a server.
     """
 
-    def __init__(self, state: entry_state.EntryState, job: jobs.Job) -> None:
+    def __init__(
+        self,
+        state: entry_state.EntryState,
+        job: jobs.Job,
+        on_sending: Callable[[], None],
+    ) -> None:
         self._state = state
         self._job = job
+        self._on_sending = on_sending
         self._clock = state.clock
 
     async def send(
@@ -166,6 +175,7 @@
             job.body,
             job.request_id,
             is_idempotent=job.is_idempotent,
+            on_sending=self._on_sending,
         )
 
     def _identity_headers(
--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -263,31 +263,36 @@
     ) -> request_carrier.RequestResult | None:
         """Forwards a request; returns None if its caller disconnected.
 
-        An at-most-once request that was already sent is not cancelled when
-        its caller disconnects: finishing its work is better than aborting it
-        halfway.
+        An at-most-once request that a server may be executing isn't cancelled
+        then, but it isn't sent to another one either.
         """
+        if exchange.is_caller_gone:
+            self._record_caller_left(job)
+            return None
         work = asyncio.get_running_loop().create_task(carrier.carry())
         try:
             await asyncio.wait(
                 (work, exchange.caller_gone),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not work.done() and not (
-                carrier.has_been_sent and not job.is_idempotent
-            ):
-                work.cancel()
+            if not work.done():
+                carrier.abandon()
+                if carrier.may_be_cancelled:
+                    work.cancel()
             result = await work
         except asyncio.CancelledError:
             if not exchange.is_caller_gone:
                 raise
-            self._state.log.request(
-                "caller left", job.request_id, spans=job.trace.fields
-            )
-            self._state.metrics.on_request(job.rule.name, "caller-left", 0.0)
+            self._record_caller_left(job)
             return None
         return result
 
+    def _record_caller_left(self, job: jobs.Job) -> None:
+        self._state.log.request(
+            "caller left", job.request_id, spans=job.trace.fields
+        )
+        self._state.metrics.on_request(job.rule.name, "caller-left", 0.0)
+
     async def _answer(
         self,
         exchange: inbound_exchange.InboundExchange,
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -97,10 +97,12 @@
         self._state = state
         self._job = job
         self._answers = answers
-        self._dispatcher = dispatcher.Dispatcher(state, job)
+        self._dispatcher = dispatcher.Dispatcher(state, job, self._on_sending)
         self._clock = state.clock
         self._tried_server_ids: set[str] = set()
         self._sent_count = 0
+        self._is_at_server = False
+        self._is_abandoned = False
         self._is_denied = False
         self._refusals = 0
         self._may_have_run = False
@@ -121,13 +123,27 @@
         return self._is_denied
 
     @property
-    def has_been_sent(self) -> bool:
-        """Whether a server may have executed or may be executing the request.
+    def may_be_cancelled(self) -> bool:
+        """Whether the request can be ended without aborting work halfway.
+
+        An at-most-once request can't be while a server may be executing it:
+        finishing its work is better. Before it is written to a server, and
+        after a server refused it, it can be.
+        """
+        return self._job.is_idempotent or not self._is_at_server
+
+    @property
+    def _has_been_sent(self) -> bool:
+        """Whether a server was chosen that hasn't refused the request.
 
         Attempts that a server refused or that were not sent don't count.
         """
         return self._sent_count > 0
 
+    def abandon(self) -> None:
+        """Prevents further attempts: nobody waits for the answer anymore."""
+        self._is_abandoned = True
+
     async def carry(self) -> RequestResult:
         """Forwards the request, with retries, and returns the final result."""
         state = self._state
@@ -156,7 +172,7 @@
             trace.end(placing, found.reason.value)
             self._state.load_meter.on_rejected(self._job.service, self._clock())
             self._end = found.reason.value
-            if self.has_been_sent or self._refusals:
+            if self._has_been_sent or self._refusals:
                 return self._final_result(found.retry_after_s, found.decision)
             return RequestResult(
                 Verdict.NOT_RUN,
@@ -194,6 +210,7 @@
         now_s = self._clock()
         ran = self._may_have_run or self._failure_answer is not None
         obstacles = {
+            "caller-left": self._is_abandoned,
             "not-idempotent": ran and not job.is_idempotent,
             "attempts": ran and self._sent_count >= job.rule.max_attempts,
             "refusals": self._refusals > _MAX_REFUSALS,
@@ -383,8 +400,12 @@
         dispatch = await self._dispatcher.send(backend, grant, self._load_test)
         if dispatch.verdict is Verdict.NOT_RUN:
             self._sent_count -= 1
+            self._is_at_server = False
         return dispatch
 
+    def _on_sending(self) -> None:
+        self._is_at_server = True
+
     async def _find_hedge_backend(self) -> backend_table.Backend | None:
         if self._clock() >= self._job.deadline_s:
             return None
