Bound the heads and trailers of answers

Another operator reports a faulty upstream that sends bytes without end until the instance runs out of memory.

Cause: what the parser keeps of a head was bounded by 256 fields of 32 KB and by the 4 MB of an exchange outside its body, for each exchange.

A head, or the trailers of a body, may take 64 KB; more ends the exchange as malformed. The same limit holds for health checks, other instances and `serve`. Answers of the store are bounded by 8 MB, those of other instances by 8 MB in sum and 16 MB unpacked.

Tests: test_endless_answers.py and test_store_log.py.

--- a/packages/entry/src/magnoliacrank/entry/peer_fetcher.py
+++ b/packages/entry/src/magnoliacrank/entry/peer_fetcher.py
@@ -8,6 +8,7 @@
 from magnoliacrank.entry import peer_records
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import outbound_head
+from magnoliacrank.policy import transfer_budget
 
 if TYPE_CHECKING:
     from magnoliacrank.entry import event_log
@@ -15,6 +16,9 @@
 _TIMEOUT_S = 0.4
 """Timeout of a request to another instance."""
 
+_MAX_ANSWER_BYTES = 8 << 20
+"""Limit on the bytes of answers of other instances that are being read."""
+
 _OK = 200
 
 
@@ -30,6 +34,7 @@
         self._port = port
         self._log = log
         self._links: dict[str, backend_link.BackendLink] = {}
+        self._memory = transfer_budget.TransferBudget(_MAX_ANSWER_BYTES)
 
     async def start(self) -> None:
         """Does nothing: connections are opened on demand."""
@@ -101,6 +106,6 @@
     def _link(self, ip: str) -> backend_link.BackendLink:
         link = self._links.get(ip)
         if link is None:
-            link = backend_link.BackendLink(ip, self._port)
+            link = backend_link.BackendLink(ip, self._port, memory=self._memory)
             self._links[ip] = link
         return link
--- a/packages/entry/src/magnoliacrank/entry/peer_records.py
+++ b/packages/entry/src/magnoliacrank/entry/peer_records.py
@@ -27,7 +27,7 @@
 
 _FIRST_POSITION = (-1, 0)
 _COMPRESSION_LEVEL = 1
-_MAX_CONTENT_BYTES = 64_000_000
+_MAX_CONTENT_BYTES = 16 << 20
 
 
 class EraRows(msgspec.Struct, array_like=True):
--- a/packages/entry/tests/test_endless_answers.py
+++ b/packages/entry/tests/test_endless_answers.py
@@ -9,6 +9,7 @@
 from magnoliacrank.gateway import exchange_failure
 from magnoliacrank.gateway import outbound_head
 from magnoliacrank.policy import transfer_budget
+from magnoliacrank.standins import platform_backend
 
 FailureKind = exchange_failure.FailureKind
 
@@ -126,6 +127,71 @@
     await server.close()
 
 
+FIELDS = b"".join(
+    b"A%d: " % index + b"x" * 1000 + b"\r\n" for index in range(250)
+)
+"""Fewer and shorter than the parser allows."""
+
+
+@pytest.mark.parametrize(
+    "beginning",
+    [
+        pytest.param(OK + FIELDS, id="head"),
+        pytest.param(OTHER + FIELDS, id="head to another"),
+        pytest.param(b"HTTP/1.1 100 Go\r\n" + FIELDS, id="interim"),
+        pytest.param(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + FIELDS,
+            id="trailers",
+        ),
+        pytest.param(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + FIELDS,
+            id="trailers after a body",
+        ),
+    ],
+)
+async def test_fields_that_never_end_are_not_kept(beginning):
+    """Guards against heads in memory, up to 7.5 MB each and counted nowhere.
+
+    The server then sends nothing more, so only what it has sent can end the
+    exchange before its deadline.
+    """
+    server = EndlessServer(beginning, b"")
+    port = await server.start()
+    found = await _exchange(port, timeout_s=PATIENT_S)
+    assert isinstance(found, exchange_failure.ExchangeFailure)
+    assert found.kind in (FailureKind.MALFORMED, FailureKind.TRUNCATED)
+    await server.close()
+
+
+async def test_fields_and_trailers_of_usual_size_are_read():
+    fields = FIELDS[: 60 * 1007]
+    chunks = b"2\r\nok\r\n0\r\nT: " + b"x" * 8000 + b"\r\n\r\n"
+    server = EndlessServer(
+        OK + fields + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, b""
+    )
+    port = await server.start()
+    found = await _exchange(port)
+    assert found.content == b"ok"
+    await server.close()
+
+
+async def test_endless_health_answers_leave_others_served(site):
+    """A faulty server answers all its requests without end, also checks."""
+    server = EndlessServer(OK + b"\r\n", b"x" * BLOCK)
+    faulty = platform_backend.PlatformBackend("s1", "svc")
+    faulty._port = await server.start()
+    site.register(faulty)
+    await site.add_backend("s2")
+    instance = await site.add_instance()
+    await site.ready()
+    statuses = [
+        (await site.request(request_id=f"r{number}"))[0] for number in range(30)
+    ]
+    assert statuses.count(200) >= 28
+    await site.until(lambda: not instance._front.handler._answers.held_bytes)
+    await server.close()
+
+
 async def test_late_answer_to_another_request_is_skipped():
     """The late answer exceeds the connection's read-ahead buffer."""
     body = b"x" * 400_000
--- a/packages/gateway/src/magnoliacrank/gateway/server_connection.py
+++ b/packages/gateway/src/magnoliacrank/gateway/server_connection.py
@@ -33,6 +33,10 @@
 answer's body: heads, interim (1xx) answers, answers to earlier requests, and
 chunk framing."""
 
+_MAX_FIELD_SECTION_BYTES = 65536
+"""Maximum size of a head, or of the trailers after a chunked body. The parser
+keeps all of it in memory until its end."""
+
 _MAX_SKIPPED_ANSWERS = 32
 """Maximum number of interim (1xx) answers and answers to earlier requests per
 exchange."""
@@ -179,6 +183,8 @@
         self._is_head_request = False
         self._closes_after_answer = False
         self._received_bytes = 0
+        self._field_section_bytes = 0
+        self._body_bytes = 0
         self._skipped_answers = 0
         self._skipped_payload: streams.StreamReader | None = None
         self._exchange_count = 0
@@ -266,6 +272,8 @@
         self._trailing_bytes.reset()
         self._closes_after_answer = False
         self._received_bytes = 0
+        self._field_section_bytes = 0
+        self._body_bytes = 0
         self._skipped_answers = 0
         self._answer_filter = accepts_answer
         self._exchange_count += 1
@@ -400,8 +408,11 @@
             self._on_message(message, payload)
         self._discard_skipped_payload()
         self._check_answer_end()
-        if self._state in _EXCHANGE_STATES and self._exceeds_non_body_limits(
-            len(data)
+        if self._state in _EXCHANGE_STATES and (
+            self._exceeds_non_body_limits(len(data))
+            or self._exceeds_field_section_limit(
+                len(data), has_head=bool(messages)
+            )
         ):
             self.retire(FailureKind.MALFORMED)
 
@@ -471,6 +482,27 @@
             or self._skipped_answers > _MAX_SKIPPED_ANSWERS
         )
 
+    def _exceeds_field_section_limit(
+        self, size: int, *, has_head: bool
+    ) -> bool:
+        """Whether the head or the trailers under way are too large.
+
+        Bytes count towards them that neither end a head nor are part of a body.
+
+        Args:
+            size: Number of bytes that were received last.
+            has_head: Whether a head ended in them.
+        """
+        before = self._body_bytes
+        if self._payload is not None:
+            self._body_bytes = self._payload.total_bytes
+        is_body = self._body_bytes > before or self._skipped_payload is not None
+        if has_head or is_body:
+            self._field_section_bytes = 0
+        else:
+            self._field_section_bytes += size
+        return self._field_section_bytes > _MAX_FIELD_SECTION_BYTES
+
     def _discard_skipped_payload(self) -> None:
         """Discards what has arrived of the body of an unrelated answer.
 
--- a/packages/platform/src/magnoliacrank/platform/store_client.py
+++ b/packages/platform/src/magnoliacrank/platform/store_client.py
@@ -44,6 +44,9 @@
 _PRECONDITION_FAILED = 412
 _MAX_PAGES = 1000
 
+_MAX_ANSWER_BYTES = 8 << 20
+"""Largest answer that is read; the store's own limits are below 2 MB."""
+
 _PAGE_KB = 256
 """Size of a page of changes: the largest record, or the renewals of hundreds of
 servers. A reader that lacks more gets it sooner as the newest records."""
@@ -381,13 +384,18 @@
                 data=body or None,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as answer:
-                data = await answer.read()
+                data = await _read_body(answer)
                 status = answer.status
                 stated = answer.headers.get(ERA_HEADER, "")
         except aiohttp.ClientConnectorError as error:
             return StoreFailure(StoreFailureKind.REFUSED, str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return StoreFailure(StoreFailureKind.NO_ANSWER, repr(error))
+        if data is None:
+            return StoreFailure(
+                StoreFailureKind.MALFORMED,
+                f"{name} answered more than {_MAX_ANSWER_BYTES} bytes",
+            )
         stated_era = wire_values.parse_count(stated.strip())
         if stated_era is not None:
             self.note_era(stated_era)
@@ -409,6 +417,18 @@
 }
 
 
+async def _read_body(answer: aiohttp.ClientResponse) -> bytes | None:
+    """Returns the body of an answer, or None if it is too large."""
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in answer.content.iter_any():
+        size += len(chunk)
+        if size > _MAX_ANSWER_BYTES:
+            return None
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def _decode_first_offset(data: bytes) -> int | None:
     """Returns the oldest retained offset that a response states, or None."""
     try:
--- a/packages/platform/tests/test_store_log.py
+++ b/packages/platform/tests/test_store_log.py
@@ -1,5 +1,6 @@
 """Tests of StoreLog and StoreInstanceList against a stand-in of the store."""
 
+import asyncio
 import contextlib
 
 import msgspec
@@ -217,3 +218,31 @@
         found = await listed.fetch()
     names = [one.entry.instance_id for one in found.instances]
     assert names == ["e1", "e2"]
+
+
+async def test_endless_answer_of_the_store_is_a_failure():
+    """Guards against an answer that takes all memory until its timeout."""
+    sent = 0
+
+    async def answer(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        try:
+            while True:
+                writer.write(b"x" * 65536)
+                await writer.drain()
+                sent += 65536
+        except ConnectionError:
+            writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = store_client.StoreClient(f"http://127.0.0.1:{port}")
+    await client.start()
+    result = await client.newest("keyed.op", 30.0)
+    assert isinstance(result, store_client.StoreFailure)
+    assert result.kind is store_client.StoreFailureKind.MALFORMED
+    assert sent < 24 << 20
+    await client.close()
+    server.close()
