Refuse what can't be finished before a planned stop ends

Another operator reports requests that were passed on late in the grace period and cut at its end. Here this happened to uploads that were under way: with a grace of 6 s and 2.5 s of work, those whose last byte came 3.1 and 4.0 s after the signal were passed on and cut at 5.4 s without an answer (LOST).

Cause: the time left was known to the code that ends the process, and to nothing that begins work.

`DrainSchedule` decides it: while an instance stops, a request goes to a server only if its deadline lies before the end or, in the first 2.4 s, if twice its usual work fits. Asked before and while a body is read, after it, when a request that waited gets its turn, before a retry and a hedge. The rest gets 503 with Retry-After 0 and has not run.

Ruled out: new requests on kept and new connections; idle connections are closed 2.4 s after the signal, and the planned stop under load in the tests cuts none, before and after.

--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -82,6 +82,20 @@
         self._reader = reader
         self._bodies = transfer_budget.TransferBudget(body_memory_bytes)
         self._answers = answers
+        self._reading: dict[
+            asyncio.Timeout, tuple[route_plan.RouteRule, float]
+        ] = {}
+
+    def start_draining(self) -> None:
+        """Bounds the bodies being read by the schedule of the stop.
+
+        To be called after the schedule has started.
+        """
+        loop = asyncio.get_running_loop()
+        for timeout, (rule, deadline_s) in self._reading.items():
+            if not timeout.expired():
+                left_s = self._reading_time_left_s(rule, deadline_s)
+                timeout.reschedule(loop.time() + left_s)
 
     async def on_request(
         self, exchange: inbound_exchange.InboundExchange
@@ -111,7 +125,14 @@
         rule: route_plan.RouteRule,
         reservation: transfer_budget.Reservation,
     ) -> refusals.Refusal | None:
-        """Reserves memory for a request and its answer, or refuses it."""
+        """Reserves memory for a request and its answer, or refuses it.
+
+        While the instance stops, a request that couldn't be finished is refused
+        before its body is read.
+        """
+        deadline_s = self._state.clock() + self._timeout_s(exchange, rule)
+        if not self._state.may_start(rule, deadline_s):
+            return refusals.LEAVING
         expected_bytes = self._state.expected_answer_bytes(rule)
         if not self._answers.accepts_request(expected_bytes):
             return refusals.Refusal(
@@ -171,6 +192,8 @@
         now_s = self._state.clock()
         if job.deadline_s - now_s < _MIN_REMAINING_S:
             refusal = refusals.Refusal(503, "deadline-passed", 0.0)
+        elif not self._state.may_start(rule, job.deadline_s):
+            refusal = refusals.LEAVING
         elif self._state.crashes.is_blocked(job.fingerprint, now_s):
             refusal = refusals.Refusal(
                 503, "crashes-servers", _CRASH_RETRY_AFTER_S
@@ -204,17 +227,37 @@
         limit = plan.limits.max_body_bytes
         if exchange.is_body_whole:
             return await exchange.read_body(limit, reservation.try_grow)
-        stated_s = request_wire.read_deadline_s(exchange.headers)
-        timeout_s = rule.timeout_s
-        if stated_s is not None:
-            timeout_s = min(stated_s, timeout_s)
+        deadline_s = trace.arrived_s + self._timeout_s(exchange, rule)
+        left_s = self._reading_time_left_s(rule, deadline_s)
         try:
-            async with asyncio.timeout(
-                trace.arrived_s + timeout_s - self._state.clock()
-            ):
-                return await exchange.read_body(limit, reservation.try_grow)
+            async with asyncio.timeout(left_s) as timeout:
+                self._reading[timeout] = (rule, deadline_s)
+                try:
+                    return await exchange.read_body(limit, reservation.try_grow)
+                finally:
+                    del self._reading[timeout]
         except TimeoutError:
-            return bodies.TOO_SLOW
+            if self._state.may_start(rule, deadline_s):
+                return bodies.TOO_SLOW
+            return bodies.LEAVING
+
+    def _reading_time_left_s(
+        self, rule: route_plan.RouteRule, deadline_s: float
+    ) -> float:
+        """Returns how long a body may still take to arrive, in seconds."""
+        latest_start_s = self._state.latest_start_s(rule, deadline_s)
+        return min(deadline_s, latest_start_s) - self._state.clock()
+
+    def _timeout_s(
+        self,
+        exchange: inbound_exchange.InboundExchange,
+        rule: route_plan.RouteRule,
+    ) -> float:
+        """Returns the seconds within which a request ends in any case."""
+        stated_s = request_wire.read_deadline_s(exchange.headers)
+        if stated_s is None:
+            return rule.timeout_s
+        return min(stated_s, rule.timeout_s)
 
     def _prepare(
         self,
@@ -225,12 +268,10 @@
         trace: request_trace.RequestTrace,
     ) -> jobs.Job:
         headers = exchange.headers
-        caller_timeout_s = request_wire.read_deadline_s(headers)
+        stated_s = request_wire.read_deadline_s(headers)
         elapsed_s = 0.0
-        if caller_timeout_s is not None:
-            elapsed_s = self._state.record_timeout(rule, caller_timeout_s)
-        if caller_timeout_s is None or caller_timeout_s > rule.timeout_s:
-            caller_timeout_s = rule.timeout_s
+        if stated_s is not None:
+            elapsed_s = self._state.record_timeout(rule, stated_s)
         digest = xxhash.xxh64(f"{exchange.method} {exchange.target}\n".encode())
         digest.update(body)
         forwarded, credentials = request_wire.split_credentials(
@@ -248,7 +289,7 @@
             body=body,
             arrived_s=trace.arrived_s,
             asked_s=trace.arrived_s - elapsed_s,
-            deadline_s=trace.arrived_s + caller_timeout_s,
+            deadline_s=trace.arrived_s + self._timeout_s(exchange, rule),
             fingerprint=digest.hexdigest(),
             trace=trace,
             api_key=request_wire.read_api_key(headers),
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -31,6 +31,7 @@
 from magnoliacrank.gateway import front_server
 from magnoliacrank.platform import store_client
 from magnoliacrank.policy import caller_steering
+from magnoliacrank.policy import drain_schedule
 from magnoliacrank.policy import instance_roster
 from magnoliacrank.policy import mesh_protocol
 from magnoliacrank.policy import peer_status
@@ -149,6 +150,10 @@
             clock,
             rng,
         )
+        self._drain = drain_schedule.DrainSchedule(
+            accept_s=_LEAVE_DELAY_S,
+            finish_s=_LEAVE_DELAY_S + self._finish_time_s,
+        )
         self._state = entry_state.EntryState(
             clock,
             self.log,
@@ -158,6 +163,7 @@
             self._trials,
             self._usage.counter,
             bounds,
+            self._drain,
             rng,
         )
         self._spillover = spillover_control.SpilloverControl(
@@ -186,18 +192,14 @@
             settings, self._store, self._roster, self.log, clock
         )
         limits = front_limits.FrontLimits()
-        self._front = front_server.FrontServer(
-            entry_handler.EntryHandler(
-                self._state,
-                self._view,
-                self._reader,
-                int(
-                    settings.memory_mb * 1e6 * transfer_budget.BODY_MEMORY_SHARE
-                ),
-                answers,
-            ),
-            limits,
+        self._handler = entry_handler.EntryHandler(
+            self._state,
+            self._view,
+            self._reader,
+            int(memory_bytes * transfer_budget.BODY_MEMORY_SHARE),
+            answers,
         )
+        self._front = front_server.FrontServer(self._handler, limits)
         self._servers = self._auxiliary_servers(limits)
         self._view.add_listener(self)
         self._reader.set_change_handler(self._link.send_now)
@@ -214,6 +216,12 @@
             and self._view.has_backends
         )
 
+    @property
+    def _finish_time_s(self) -> float:
+        """Seconds after the leave delay for requests in flight."""
+        grace_s = self._settings.bounds.grace_s
+        return max(grace_s - _LEAVE_DELAY_S - _EXIT_MARGIN_S, 0.0)
+
     async def start(self) -> None:
         """Binds the ports that don't listen yet, then starts the tasks.
 
@@ -252,6 +260,8 @@
     async def leave(self) -> None:
         """Leaves the directory, and serves until callers have noticed."""
         self._is_leaving = True
+        self._drain.start(self._clock())
+        self._handler.start_draining()
         self._roster.set_own(
             self._own_fact(is_ready=False, is_mesh_member=False)
         )
@@ -266,10 +276,7 @@
         The wait ends early enough to finish within the operators' grace
         period.
         """
-        grace_s = (
-            self._settings.bounds.grace_s - _LEAVE_DELAY_S - _EXIT_MARGIN_S
-        )
-        await self._front.close(max(grace_s, 0.0))
+        await self._front.close(self._finish_time_s)
         for server, _ in self._servers:
             await server.close(0.0)
         await self._usage.close()
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -23,6 +23,7 @@
     from magnoliacrank.entry import usage_counter
     from magnoliacrank.model import route_plan
     from magnoliacrank.platform import settings_file
+    from magnoliacrank.policy import drain_schedule
     from magnoliacrank.policy import instance_roster
 
 _INITIAL_WORK_SHARE = 0.4
@@ -48,6 +49,7 @@
         trials: Controller of the rollouts in progress.
         usage: Counts the requests of customers.
         bounds: Operators' bounds on the whole system.
+        drain: Decides which requests are started while the instance stops.
         rng: Random numbers for the start of weighted round robins.
     """
 
@@ -61,6 +63,7 @@
         trials: rollout_controller.RolloutController,
         usage: usage_counter.UsageCounter,
         bounds: settings_file.SafetyBounds,
+        drain: drain_schedule.DrainSchedule,
         rng: random.Random,
     ) -> None:
         self.clock = clock
@@ -70,6 +73,7 @@
         self.placer = placer
         self.trials = trials
         self.usage = usage
+        self.drain = drain
         self.crashes = crash_register.CrashRegister()
         self.plan: route_plan.RoutePlan | None = None
         self.highest_priority = 0
@@ -219,6 +223,21 @@
             rule.name, rule.target_latency_s * _INITIAL_WORK_SHARE
         )
 
+    def may_start(self, rule: route_plan.RouteRule, deadline_s: float) -> bool:
+        """Whether a request may be sent to a server before this one stops.
+
+        Args:
+            rule: Route of the request.
+            deadline_s: Clock time in seconds at which it ends in any case.
+        """
+        return self.drain.may_start(self.clock(), self.work_s(rule), deadline_s)
+
+    def latest_start_s(
+        self, rule: route_plan.RouteRule, deadline_s: float
+    ) -> float:
+        """Returns the clock time in seconds up to which `may_start` holds."""
+        return self.drain.latest_start_s(self.work_s(rule), deadline_s)
+
     def on_work_duration(
         self, rule: route_plan.RouteRule, duration_s: float
     ) -> None:
--- a/packages/entry/src/magnoliacrank/entry/refusal.py
+++ b/packages/entry/src/magnoliacrank/entry/refusal.py
@@ -24,6 +24,11 @@
 memory for bodies or answers is used up."""
 
 
+_LEAVING_RETRY_AFTER_S = 0.0
+"""Retry delay stated while this instance stops: another one can take the
+request at once."""
+
+
 @attrs.frozen
 class Refusal:
     """An error answer that this instance generates itself."""
@@ -41,6 +46,12 @@
     """Further fields of its log line."""
 
 
+LEAVING = Refusal(
+    bodies.LEAVING.status, bodies.LEAVING.kind.value, _LEAVING_RETRY_AFTER_S
+)
+"""Refusal of a request that couldn't be finished before this instance stops."""
+
+
 def of_body(
     body: bytes | bodies.BodyTooLarge | bodies.BodyFailure,
 ) -> Refusal | None:
@@ -52,6 +63,8 @@
             return Refusal(
                 body.status, body.kind.value, UNAVAILABLE_RETRY_AFTER_S
             )
+        if body is bodies.LEAVING:
+            return LEAVING
         return Refusal(body.status, body.kind.value)
     return None
 
--- a/packages/entry/src/magnoliacrank/entry/request_carrier.py
+++ b/packages/entry/src/magnoliacrank/entry/request_carrier.py
@@ -17,6 +17,7 @@
 from magnoliacrank.entry import dispatch as dispatches
 from magnoliacrank.entry import dispatcher
 from magnoliacrank.entry import placement_request as placement_requests
+from magnoliacrank.entry import refusal as refusals
 from magnoliacrank.entry import request_trace
 from magnoliacrank.policy import caller_access
 from magnoliacrank.policy import repeat_budget
@@ -180,6 +181,12 @@
                 retry_after_s=found.retry_after_s,
                 decision=found.decision,
             )
+        if not self._state.may_start(self._job.rule, self._job.deadline_s):
+            # This instance began to stop while the request waited.
+            trace.end(placing, refusals.LEAVING.reason)
+            self._on_finished(found)
+            self._reason = self._end = refusals.LEAVING.reason
+            return self._final_result(retry_after_s=0.0)
         trace.end(placing, "found")
         self._state.load_meter.on_placed(self._job.service, self._clock())
         dispatch = await self._dispatch_hedged(found)
@@ -215,6 +222,9 @@
             "attempts": ran and self._sent_count >= job.rule.max_attempts,
             "refusals": self._refusals > _MAX_REFUSALS,
             "deadline": now_s >= job.deadline_s,
+            refusals.LEAVING.reason: not self._state.may_start(
+                job.rule, job.deadline_s
+            ),
             "crashes-servers": self._state.crashes.is_blocked(
                 job.fingerprint, now_s
             ),
@@ -318,7 +328,11 @@
         work_s = self._state.work_s(job.rule)
         wait_deadline_s = job.objective_s - 1.2 * work_s
         wait_deadline_s = max(wait_deadline_s, now_s + _MIN_WAIT_S)
-        wait_deadline_s = min(wait_deadline_s, job.deadline_s - 0.5 * work_s)
+        wait_deadline_s = min(
+            wait_deadline_s,
+            job.deadline_s - 0.5 * work_s,
+            self._state.latest_start_s(job.rule, job.deadline_s),
+        )
         return placement_requests.PlacementRequest(
             service=job.service,
             customer=job.customer,
@@ -411,6 +425,8 @@
             return None
         if self._check_access() is None:
             return None
+        if not self._state.may_start(self._job.rule, self._job.deadline_s):
+            return None
         expected_bytes = self._state.expected_answer_bytes(self._job.rule)
         if not self._answers.accepts_request(expected_bytes):
             # The second of two large answers would take the memory of others.
--- a/packages/gateway/src/magnoliacrank/gateway/body.py
+++ b/packages/gateway/src/magnoliacrank/gateway/body.py
@@ -15,6 +15,7 @@
     MALFORMED = "malformed"
     TOO_SLOW = "too-slow"
     NO_MEMORY = "body-memory"
+    LEAVING = "leaving"
 
 
 @attrs.frozen
@@ -49,6 +50,9 @@
 NO_MEMORY = BodyFailure(BodyFailureKind.NO_MEMORY, 503)
 """The memory for request bodies is used up."""
 
+LEAVING = BodyFailure(BodyFailureKind.LEAVING, 503)
+"""The instance stops before the request could be finished."""
+
 
 class BodyFailureError(Exception):
     """Passes a failure through the stream of a body to its reader.
