Read bodies in a class of their own and compute a deadline once

`BodyReader` reads bodies within their time; `_Admission` carries route, permission and deadline, which was parsed from the headers up to three times a request.

--- a/packages/entry/src/magnoliacrank/entry/entry_handler.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_handler.py
@@ -10,12 +10,12 @@
 import msgspec
 import xxhash
 
+from magnoliacrank.entry import body_reader
 from magnoliacrank.entry import dispatch as dispatches
 from magnoliacrank.entry import job as jobs
 from magnoliacrank.entry import refusal as refusals
 from magnoliacrank.entry import request_carrier
 from magnoliacrank.entry import request_trace
-from magnoliacrank.gateway import body as bodies
 from magnoliacrank.gateway import framing
 from magnoliacrank.model import route_plan
 from magnoliacrank.platform import request_wire
@@ -50,8 +50,19 @@
 """Time after the deadline of a caller for which its answer is still kept if it
 hasn't read all of it."""
 
-_Admission = tuple[route_plan.RouteRule, caller_access.Grant]
-"""Route of a request and the permission to use it."""
+
+@attrs.frozen
+class _Admission:
+    """Permission to use the route of a request."""
+
+    rule: route_plan.RouteRule
+    """The route."""
+
+    grant: caller_access.Grant
+    """The caller's permission."""
+
+    deadline_s: float
+    """Clock time in seconds at which the request ends in any case."""
 
 
 class EntryHandler:
@@ -82,20 +93,11 @@
         self._reader = reader
         self._bodies = transfer_budget.TransferBudget(body_memory_bytes)
         self._answers = answers
-        self._reading: dict[
-            asyncio.Timeout, tuple[route_plan.RouteRule, float]
-        ] = {}
+        self._body_reader = body_reader.BodyReader(state)
 
     def start_draining(self) -> None:
-        """Bounds the bodies being read by the schedule of the stop.
-
-        To be called after the schedule has started.
-        """
-        loop = asyncio.get_running_loop()
-        for timeout, (rule, deadline_s) in self._reading.items():
-            if not timeout.expired():
-                left_s = self._reading_time_left_s(rule, deadline_s)
-                timeout.reschedule(loop.time() + left_s)
+        """Bounds the bodies being read; see `BodyReader.start_draining`."""
+        self._body_reader.start_draining()
 
     async def on_request(
         self, exchange: inbound_exchange.InboundExchange
@@ -104,25 +106,24 @@
         arrived_s = self._state.clock()
         trace = request_trace.RequestTrace(arrived_s, self._state.clock)
         await self._reader.refresh_for_request()
-        found = await self._admit(exchange)
+        found = await self._admit(exchange, arrived_s)
         if isinstance(found, refusals.Refusal):
             await self._refuse(exchange, found, None, trace)
             return
-        rule, grant = found
         reservation = transfer_budget.Reservation(self._bodies)
         try:
-            refusal = self._reserve(exchange, rule, reservation)
+            refusal = self._reserve(exchange, found, reservation)
             if refusal is None:
-                await self._serve(exchange, rule, grant, trace, reservation)
+                await self._serve(exchange, found, trace, reservation)
             else:
-                await self._refuse(exchange, refusal, rule, trace)
+                await self._refuse(exchange, refusal, found.rule, trace)
         finally:
             reservation.release()
 
     def _reserve(
         self,
         exchange: inbound_exchange.InboundExchange,
-        rule: route_plan.RouteRule,
+        admission: _Admission,
         reservation: transfer_budget.Reservation,
     ) -> refusals.Refusal | None:
         """Reserves memory for a request and its answer, or refuses it.
@@ -130,8 +131,8 @@
         While the instance stops, a request that couldn't be finished is refused
         before its body is read.
         """
-        deadline_s = self._state.clock() + self._timeout_s(exchange, rule)
-        if not self._state.may_start(rule, deadline_s):
+        rule = admission.rule
+        if not self._state.may_start(rule, admission.deadline_s):
             return refusals.LEAVING
         expected_bytes = self._state.expected_answer_bytes(rule)
         if not self._answers.accepts_request(expected_bytes):
@@ -145,17 +146,17 @@
         return None
 
     async def _admit(
-        self, exchange: inbound_exchange.InboundExchange
+        self, exchange: inbound_exchange.InboundExchange, arrived_s: float
     ) -> _Admission | refusals.Refusal:
-        found = self._look_up(exchange)
+        found = self._look_up(exchange, arrived_s)
         if isinstance(found, refusals.Refusal):
             # The route or the API key may have been added since the last read.
             await self._reader.refresh(_UNKNOWN_MAX_AGE_S)
-            found = self._look_up(exchange)
+            found = self._look_up(exchange, arrived_s)
         return found
 
     def _look_up(
-        self, exchange: inbound_exchange.InboundExchange
+        self, exchange: inbound_exchange.InboundExchange, arrived_s: float
     ) -> _Admission | refusals.Refusal:
         plan = self._view.plan
         if plan is None:
@@ -170,25 +171,37 @@
         access = caller_access.decide(plan, rule, key)
         if isinstance(access, caller_access.Denial):
             return refusals.Refusal(refusals.UNAUTHORIZED, access.value)
-        return rule, access
+        timeout_s = rule.timeout_s
+        stated_s = request_wire.read_deadline_s(exchange.headers)
+        if stated_s is not None:
+            timeout_s = min(stated_s, timeout_s)
+        return _Admission(rule, access, arrived_s + timeout_s)
 
     async def _serve(
         self,
         exchange: inbound_exchange.InboundExchange,
-        rule: route_plan.RouteRule,
-        grant: caller_access.Grant,
+        admission: _Admission,
         trace: request_trace.RequestTrace,
         reservation: transfer_budget.Reservation,
     ) -> None:
+        rule = admission.rule
         reading = trace.begin(request_trace.Hop.READ)
-        body = await self._read_body(exchange, rule, trace, reservation)
+        plan = self._view.plan
+        assert plan is not None, "a route was found"
+        body = await self._body_reader.read(
+            exchange,
+            rule,
+            admission.deadline_s,
+            plan.limits.max_body_bytes,
+            reservation,
+        )
         refusal = refusals.of_body(body)
         trace.end(reading, "whole" if refusal is None else refusal.reason)
         if refusal is not None:
             await self._refuse(exchange, refusal, rule, trace)
             return
         assert isinstance(body, bytes)
-        job = self._prepare(exchange, rule, grant, body, trace)
+        job = self._prepare(exchange, admission, body, trace)
         now_s = self._state.clock()
         if job.deadline_s - now_s < _MIN_REMAINING_S:
             refusal = refusals.Refusal(503, "deadline-passed", 0.0)
@@ -214,59 +227,14 @@
         reservation.release()
         await self._answer(exchange, job, result, is_denied=is_denied)
 
-    async def _read_body(
-        self,
-        exchange: inbound_exchange.InboundExchange,
-        rule: route_plan.RouteRule,
-        trace: request_trace.RequestTrace,
-        reservation: transfer_budget.Reservation,
-    ) -> bytes | bodies.BodyTooLarge | bodies.BodyFailure:
-        """Reads a body until the deadline; a slower one holds no memory."""
-        plan = self._view.plan
-        assert plan is not None, "a route was found"
-        limit = plan.limits.max_body_bytes
-        if exchange.is_body_whole:
-            return await exchange.read_body(limit, reservation.try_grow)
-        deadline_s = trace.arrived_s + self._timeout_s(exchange, rule)
-        left_s = self._reading_time_left_s(rule, deadline_s)
-        try:
-            async with asyncio.timeout(left_s) as timeout:
-                self._reading[timeout] = (rule, deadline_s)
-                try:
-                    return await exchange.read_body(limit, reservation.try_grow)
-                finally:
-                    del self._reading[timeout]
-        except TimeoutError:
-            if self._state.may_start(rule, deadline_s):
-                return bodies.TOO_SLOW
-            return bodies.LEAVING
-
-    def _reading_time_left_s(
-        self, rule: route_plan.RouteRule, deadline_s: float
-    ) -> float:
-        """Returns how long a body may still take to arrive, in seconds."""
-        latest_start_s = self._state.latest_start_s(rule, deadline_s)
-        return min(deadline_s, latest_start_s) - self._state.clock()
-
-    def _timeout_s(
-        self,
-        exchange: inbound_exchange.InboundExchange,
-        rule: route_plan.RouteRule,
-    ) -> float:
-        """Returns the seconds within which a request ends in any case."""
-        stated_s = request_wire.read_deadline_s(exchange.headers)
-        if stated_s is None:
-            return rule.timeout_s
-        return min(stated_s, rule.timeout_s)
-
     def _prepare(
         self,
         exchange: inbound_exchange.InboundExchange,
-        rule: route_plan.RouteRule,
-        grant: caller_access.Grant,
+        admission: _Admission,
         body: bytes,
         trace: request_trace.RequestTrace,
     ) -> jobs.Job:
+        rule, grant = admission.rule, admission.grant
         headers = exchange.headers
         stated_s = request_wire.read_deadline_s(headers)
         elapsed_s = 0.0
@@ -289,7 +257,7 @@
             body=body,
             arrived_s=trace.arrived_s,
             asked_s=trace.arrived_s - elapsed_s,
-            deadline_s=trace.arrived_s + self._timeout_s(exchange, rule),
+            deadline_s=admission.deadline_s,
             fingerprint=digest.hexdigest(),
             trace=trace,
             api_key=request_wire.read_api_key(headers),
