--- a/packages/cli/src/magnoliacrank/cli/instance_process.py
+++ b/packages/cli/src/magnoliacrank/cli/instance_process.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliacrank.entry import entry_instance
+from magnoliacrank.platform import instance_settings
 from magnoliacrank.platform import settings_file
 
 if TYPE_CHECKING:
@@ -65,7 +66,7 @@
 
 def _reload(
     instance: entry_instance.EntryInstance,
-    settings: settings_file.InstanceSettings,
+    settings: instance_settings.InstanceSettings,
     path: str,
 ) -> None:
     """Validates the settings file again on SIGHUP and logs the result.
--- a/packages/entry/src/magnoliacrank/entry/announcer.py
+++ b/packages/entry/src/magnoliacrank/entry/announcer.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable
 
     from magnoliacrank.entry import event_log
-    from magnoliacrank.platform import settings_file
+    from magnoliacrank.platform import instance_settings
     from magnoliacrank.policy import instance_roster
 
 _KEY_PREFIX = "instance/"
@@ -50,7 +50,7 @@
 
     def __init__(
         self,
-        settings: settings_file.InstanceSettings,
+        settings: instance_settings.InstanceSettings,
         store: store_client.StoreClient,
         roster: instance_roster.InstanceRoster,
         log: event_log.EventLog,
--- a/packages/entry/src/magnoliacrank/entry/entry_instance.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_instance.py
@@ -46,7 +46,7 @@
 
     from magnoliacrank.model import orders
     from magnoliacrank.model import route_plan
-    from magnoliacrank.platform import settings_file
+    from magnoliacrank.platform import instance_settings
 
 _DIRECTORY_TTL_S = 2.0
 """Time for which callers may cache addresses from the directory, unless the
@@ -76,7 +76,7 @@
 
     def __init__(
         self,
-        settings: settings_file.InstanceSettings,
+        settings: instance_settings.InstanceSettings,
         log: event_log.EventLog | None = None,
         listeners: Mapping[tuple[str, int], socket.socket] | None = None,
     ) -> None:
--- a/packages/entry/src/magnoliacrank/entry/entry_state.py
+++ b/packages/entry/src/magnoliacrank/entry/entry_state.py
@@ -22,7 +22,7 @@
     from magnoliacrank.entry import rollout_controller
     from magnoliacrank.entry import usage_counter
     from magnoliacrank.model import route_plan
-    from magnoliacrank.platform import settings_file
+    from magnoliacrank.platform import instance_settings
     from magnoliacrank.policy import drain_schedule
     from magnoliacrank.policy import instance_roster
 
@@ -62,7 +62,7 @@
         placer: placers.Placer,
         trials: rollout_controller.RolloutController,
         usage: usage_counter.UsageCounter,
-        bounds: settings_file.SafetyBounds,
+        bounds: instance_settings.SafetyBounds,
         drain: drain_schedule.DrainSchedule,
         rng: random.Random,
     ) -> None:
--- a/packages/entry/src/magnoliacrank/entry/rollout_controller.py
+++ b/packages/entry/src/magnoliacrank/entry/rollout_controller.py
@@ -19,7 +19,7 @@
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import peer_records
     from magnoliacrank.entry import site_view
-    from magnoliacrank.platform import settings_file
+    from magnoliacrank.platform import instance_settings
     from magnoliacrank.platform import store_client
     from magnoliacrank.policy import instance_roster
     from magnoliacrank.policy import peer_status
@@ -93,7 +93,7 @@
         view: site_view.SiteView,
         store: store_client.StoreClient,
         roster: instance_roster.InstanceRoster,
-        bounds: settings_file.SafetyBounds,
+        bounds: instance_settings.SafetyBounds,
         log: event_log.EventLog,
         clock: Callable[[], float],
     ) -> None:
--- a/packages/entry/src/magnoliacrank/entry/usage_duty.py
+++ b/packages/entry/src/magnoliacrank/entry/usage_duty.py
@@ -21,12 +21,12 @@
     from magnoliacrank.entry import entry_metrics
     from magnoliacrank.entry import event_log
     from magnoliacrank.entry import peer_fetcher
-    from magnoliacrank.platform import settings_file
+    from magnoliacrank.platform import instance_settings
     from magnoliacrank.platform import store_client
     from magnoliacrank.policy import instance_roster
 
 
-def is_enabled(settings: settings_file.InstanceSettings) -> bool:
+def is_enabled(settings: instance_settings.InstanceSettings) -> bool:
     """Whether the settings ask for reports of customers' usage."""
     cloud = settings.cloud
     return cloud is not None and usage_client.DUTY in cloud.duties
@@ -53,7 +53,7 @@
 
     def __init__(
         self,
-        settings: settings_file.InstanceSettings,
+        settings: instance_settings.InstanceSettings,
         incarnation: int,
         store: store_client.StoreClient,
         roster: instance_roster.InstanceRoster,
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -11,7 +11,7 @@
 
 from magnoliacrank.entry import entry_instance
 from magnoliacrank.entry import event_log
-from magnoliacrank.platform import settings_file
+from magnoliacrank.platform import instance_settings
 from magnoliacrank.standins import free_ports
 from magnoliacrank.standins import platform_backend
 from magnoliacrank.standins import platform_store
@@ -137,8 +137,14 @@
     def configure(self, value):
         self.store.put("keyed.op", "config", value)
 
-    async def add_backend(self, server_id, service="svc", **fields):
-        backend = platform_backend.PlatformBackend(server_id, service, **fields)
+    async def add_backend(
+        self,
+        server_id,
+        service="svc",
+        kind=platform_backend.PlatformBackend,
+        **fields,
+    ):
+        backend = kind(server_id, service, **fields)
         await backend.start()
         self.backends.append(backend)
         self.register(backend)
@@ -152,8 +158,8 @@
     async def add_instance(self, number=1, data_centre="a", **fields):
         front, ready, directory, peers = self._ports
         ip = f"127.0.0.{number}"
-        bounds = settings_file.SafetyBounds(grace_s=3.2)
-        settings = settings_file.InstanceSettings(
+        bounds = instance_settings.SafetyBounds(grace_s=3.2)
+        settings = instance_settings.InstanceSettings(
             node=f"front-{number}",
             ip=ip,
             data_centre=data_centre,
@@ -176,6 +182,23 @@
         """Waits until a condition holds."""
         await eventually(condition, timeout_s)
 
+    def fill_retry_budget(self, service="svc"):
+        """Lets the instances retry as those that have run for a while."""
+        for instance in self.instances:
+            state = instance._state
+            state._started_s -= 20
+            state._repeat_budgets.clear()
+            for _ in range(20):
+                state.allowance(service).on_request(instance._clock())
+
+    async def add_refusing_backends(self, *server_ids):
+        """Adds servers that refuse requests after 0.2 s."""
+        added = [await self.add_backend(name) for name in server_ids]
+        for backend in added:
+            backend.fault = platform_backend.BackendFault.SHED
+            backend.refusal_s = 0.2
+        return added
+
     async def ready(self):
         await self.until(lambda: all(item.is_ready for item in self.instances))
 
--- a/packages/entry/tests/test_callers_that_leave.py
+++ b/packages/entry/tests/test_callers_that_leave.py
@@ -13,22 +13,6 @@
 from magnoliacrank.standins import platform_backend
 
 
-class SlowRefusal(platform_backend.PlatformBackend):
-    """Refuses requests after a while, and states that it didn't run them."""
-
-    def __init__(self, server_id):
-        super().__init__(server_id, "svc")
-        self.asked = []
-
-    async def _on_request(self, request):
-        request_id = request.headers["Request-Id"]
-        self.asked.append(request_id)
-        await asyncio.sleep(0.2)
-        return web.Response(
-            status=503, headers={"Request-Id": request_id, "Not-Executed": "1"}
-        )
-
-
 class HeadOnly(platform_backend.PlatformBackend):
     """Sends the head of an answer and nothing more."""
 
@@ -42,12 +26,6 @@
             self._running -= 1
 
 
-async def add(site, backend):
-    await backend.start()
-    site.backends.append(backend)
-    site.register(backend)
-
-
 def write(site, **fields):
     return asyncio.ensure_future(
         site.request("/write/1", method="POST", data=b"x", **fields)
@@ -86,21 +64,15 @@
 
 async def test_caller_leaves_before_a_server_refuses(site):
     """Guards against a refused request that is sent on for nobody."""
-    backends = [SlowRefusal(name) for name in ("s1", "s2")]
-    for backend in backends:
-        await add(site, backend)
-    instance = await site.add_instance()
+    backends = await site.add_refusing_backends("s1", "s2")
+    await site.add_instance()
     await site.ready()
-    # Retries need the budget of an instance that has run for a while.
-    instance._state._started_s -= 20
-    instance._state._repeat_budgets.clear()
-    for _ in range(20):
-        instance._state.allowance("svc").on_request(instance._clock())
+    site.fill_retry_budget()
     pending = write(site)
-    await site.until(lambda: any(backend.asked for backend in backends))
+    await site.until(lambda: any(server.refused_count for server in backends))
     pending.cancel()
     await asyncio.sleep(0.6)
-    assert sum(len(backend.asked) for backend in backends) == 1
+    assert sum(server.refused_count for server in backends) == 1
 
 
 async def test_caller_leaves_while_its_request_waits(site):
@@ -141,8 +113,7 @@
 async def test_caller_leaves_after_the_head_of_its_answer(
     site, path, is_dropped
 ):
-    backend = HeadOnly("s1", "svc")
-    await add(site, backend)
+    backend = await site.add_backend("s1", kind=HeadOnly)
     await site.add_instance()
     await site.ready()
     pending = asyncio.ensure_future(
--- a/packages/entry/tests/test_entry_instance.py
+++ b/packages/entry/tests/test_entry_instance.py
@@ -73,10 +73,7 @@
     first.work_s = 0.0
     second = await site.add_backend("s2")
     await site.until(lambda: instance._view.entry("s2") is not None)
-    instance._state._started_s -= 20
-    instance._state._repeat_budgets.clear()
-    for _ in range(20):
-        instance._state.allowance("svc").on_request(instance._clock())
+    site.fill_retry_budget()
     for number in range(4):
         status, _, content = await site.request(request_id=f"r{number}")
         assert (status, content) == (200, b"s2")
@@ -85,14 +82,11 @@
 
 async def test_hanging_server_is_hedged(site):
     slow = await site.add_backend("s1")
-    instance = await site.add_instance()
+    await site.add_instance()
     await site.ready()
     for number in range(20):
         await site.request(request_id=f"warm{number}")
-    instance._state._started_s -= 20
-    instance._state._repeat_budgets.clear()
-    for _ in range(20):
-        instance._state.allowance("svc").on_request(instance._clock())
+    site.fill_retry_budget()
     slow.fault = Fault.HANG
     pending = asyncio.ensure_future(
         site.request(request_id="late", deadline_ms=3000)
--- a/packages/entry/tests/test_late_in_the_grace.py
+++ b/packages/entry/tests/test_late_in_the_grace.py
@@ -6,32 +6,13 @@
 
 import asyncio
 
-from aiohttp import web
 import pytest
 
-from magnoliacrank.platform import settings_file
-from magnoliacrank.standins import platform_backend
+from magnoliacrank.platform import instance_settings
 
 GRACE_S = 6.0
 
 
-class SlowRefusal(platform_backend.PlatformBackend):
-    """Refuses requests after a while, and states that it didn't run them."""
-
-    asked = 0
-
-    async def _on_request(self, request):
-        self.asked += 1
-        await asyncio.sleep(0.2)
-        return web.Response(
-            status=503,
-            headers={
-                "Request-Id": request.headers["Request-Id"],
-                "Not-Executed": "1",
-            },
-        )
-
-
 async def upload(site, request_id, last_byte_s, deadline_ms=8000):
     """Sends a body whose last byte comes late; returns the status, 0 if cut."""
     reader, writer = await asyncio.open_connection("127.0.0.1", site._ports[0])
@@ -62,7 +43,7 @@
         **{"target-latency": "1000ms"},
     )  # fmt: skip
     site.configure(site.configuration(2, [path, site.route("r", "/read/")]))
-    bounds = settings_file.SafetyBounds(grace_s=GRACE_S)
+    bounds = instance_settings.SafetyBounds(grace_s=GRACE_S)
     instance = await site.add_instance(bounds=bounds)
     await site.ready()
     return instance, backend
@@ -135,19 +116,12 @@
 
 
 async def test_refused_request_is_not_sent_anew_too_late(site):
-    servers = [SlowRefusal(name, "svc") for name in ("s1", "s2")]
-    for server in servers:
-        await server.start()
-        site.backends.append(server)
-        site.register(server)
+    servers = await site.add_refusing_backends("s1", "s2")
     instance = await site.add_instance()
     await site.ready()
-    instance._state._started_s -= 20
-    instance._state._repeat_budgets.clear()
-    for _ in range(20):
-        instance._state.allowance("svc").on_request(instance._clock())
+    site.fill_retry_budget()
     pending = asyncio.ensure_future(site.request())
-    await site.until(lambda: any(server.asked for server in servers))
+    await site.until(lambda: any(server.refused_count for server in servers))
     end_of_grace(instance)
     assert (await pending)[0] == 503
-    assert sum(server.asked for server in servers) == 1
+    assert sum(server.refused_count for server in servers) == 1
--- a/packages/entry/tests/test_request_kinds.py
+++ b/packages/entry/tests/test_request_kinds.py
@@ -39,14 +39,6 @@
         return answer
 
 
-def fill_retry_budget(instance):
-    """Lets the instance retry as one that has run for a while."""
-    instance._state._started_s -= 20
-    instance._state._repeat_budgets.clear()
-    for _ in range(20):
-        instance._state.allowance("svc").on_request(instance._clock())
-
-
 @pytest.fixture
 async def routed(site):
     """Returns a function that starts an instance with a route of a kind."""
@@ -87,8 +79,8 @@
     site, routed, kind, may_run_twice
 ):
     backends = [await site.add_backend(name) for name in ("s1", "s2")]
-    instance = await routed(kind)
-    fill_retry_budget(instance)
+    await routed(kind)
+    site.fill_retry_budget()
     for backend in backends:
         backend.fault = Fault.LOSE
     status, _, _ = await site.request("/r/1")
@@ -130,12 +122,9 @@
 
 async def test_download_cut_midway_does_not_look_complete(site, routed):
     """Nothing of an answer is passed on before the whole of it is there."""
-    cut = CutBackend("s1", "svc")
-    await cut.start()
-    site.backends.append(cut)
-    site.register(cut)
+    cut = await site.add_backend("s1", kind=CutBackend)
     instance = await routed("download")
-    fill_retry_budget(instance)
+    site.fill_retry_budget()
     status, headers, _ = await site.request("/r/1")
     assert status == 502
     assert "Response-Signature" not in headers
--- a/packages/entry/tests/test_usage_counts.py
+++ b/packages/entry/tests/test_usage_counts.py
@@ -5,7 +5,7 @@
 import json
 
 from magnoliacrank.entry import usage_counter
-from magnoliacrank.platform import settings_file
+from magnoliacrank.platform import instance_settings
 from magnoliacrank.platform import usage_client
 from magnoliacrank.standins import platform_backend
 from magnoliacrank.standins import usage_service
@@ -13,10 +13,10 @@
 
 def _fields(service, seeds=()):
     return {
-        "bounds": settings_file.SafetyBounds(
+        "bounds": instance_settings.SafetyBounds(
             grace_s=3.2, lease_s=0.5, usage_window_s=1.0, usage_late_s=10.0
         ),
-        "cloud": settings_file.CloudSettings(
+        "cloud": instance_settings.CloudSettings(
             service.address, (usage_client.DUTY,), 50.0
         ),
         "seeds": seeds,
--- a/packages/standins/src/magnoliacrank/standins/platform_backend.py
+++ b/packages/standins/src/magnoliacrank/standins/platform_backend.py
@@ -55,6 +55,7 @@
     Attributes:
         fault: Current fault; tests may change it at any time.
         work_s: Seconds that each request takes.
+        refusal_s: Seconds after which a request is refused under `SHED`.
         slowdown: Reported service time in percent of the usual; 100 is usual.
         warmup_remaining_s: Reported time until the server is warm, in seconds.
         is_healthy: Whether the health check answers 200.
@@ -65,6 +66,7 @@
         received_headers: Headers of the requests that were run.
         received_bodies: Bodies of the requests that were run.
         health_request_count: Number of health requests received.
+        refused_count: Number of requests refused under `SHED`, or about to be.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.slots = slots
         self.fault = BackendFault.NONE
         self.work_s = 0.005
+        self.refusal_s = 0.0
         self.slowdown = 100
         self.warmup_remaining_s = 0.0
         self.is_healthy = True
@@ -92,6 +95,7 @@
         self.received_headers: list[Mapping[str, str]] = []
         self.received_bodies: list[bytes] = []
         self.health_request_count = 0
+        self.refused_count = 0
         self._running = 0
         self._port = 0
         self._runner: web.AppRunner | None = None
@@ -164,6 +168,8 @@
             headers["Instance-Id"] = self.server_id
             return web.Response(status=421, headers=headers)
         if self.fault is BackendFault.SHED:
+            self.refused_count += 1
+            await asyncio.sleep(self.refusal_s)
             return web.Response(
                 status=503, headers={**headers, "Not-Executed": "1"}
             )
